--- /dev/null
+++ b/goldcrestdeck/async_client.cc
@@ -0,0 +1,463 @@
+// A connection keeps one read pending all its life, so that a server's close is seen while it is
+// idle. The newest idle connection is used first: the others then age out.
+
+#include "goldcrestdeck/async_client.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "goldcrestdeck/async_server.h"
+
+namespace goldcrestdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t readBytes = 4096;
+/// Of an answer's head.
+constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+/// Time for which a server that says nothing is taken to keep an idle connection.
+constexpr std::chrono::milliseconds assumedKeepAlive{4000};
+/// Connections kept for one server.
+constexpr std::size_t maxIdleConnections = 64;
+
+/// The time in a Keep-Alive field, or the assumed one.
+std::chrono::milliseconds keepAliveTime(const http_response_head &head)
+{
+    const std::string value(head[http::field::keep_alive]);
+    const std::size_t at = value.find("timeout=");
+    if (at == std::string::npos)
+        return assumedKeepAlive;
+    const long seconds = std::strtol(value.c_str() + at + 8, nullptr, 10);
+    return seconds > 0 ? std::chrono::seconds(seconds) : assumedKeepAlive;
+}
+
+} // namespace
+
+const char *toString(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::notSent:
+        return "not_sent";
+    case call_failure::broken:
+        return "broken";
+    case call_failure::malformed:
+        return "malformed";
+    case call_failure::timeout:
+        break;
+    }
+    return "timeout";
+}
+
+class async_client::connection : public std::enable_shared_from_this<async_client::connection>
+{
+public:
+    connection(asio::io_context &io, const clock &time, std::string peer,
+               std::shared_ptr<shared_state> shared)
+        : m_socket(io)
+        , m_timer(io)
+        , m_clock(time)
+        , m_peer(std::move(peer))
+        , m_shared(std::move(shared))
+    {
+        ++m_shared->open;
+        ++m_shared->opened;
+    }
+    ~connection() { --m_shared->open; }
+
+    void open(const tcp::endpoint &server, std::uint64_t call, const http_request &request,
+              answer_observer observer, call_options options)
+    {
+        prepare(call, request, std::move(observer), std::move(options));
+        setTimer(m_options.timeout.count() > 0
+                     ? std::min(m_options.connectTimeout, m_options.timeout)
+                     : m_options.connectTimeout);
+        m_socket.async_connect(server, [self = shared_from_this()](error_code error) {
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->fail(call_failure::notSent);
+                return;
+            }
+            setPeerTimeouts(self->m_socket);
+            self->m_connected = true;
+            self->read();
+            self->send();
+        });
+    }
+
+    void reuse(std::uint64_t call, const http_request &request, answer_observer observer,
+               call_options options)
+    {
+        prepare(call, request, std::move(observer), std::move(options));
+        send();
+    }
+
+    bool isFresh(double maxIdleShare) const
+    {
+        const duration idle = m_clock.now() - m_idleSince;
+        return !m_closed && idle < m_keepAlive * maxIdleShare;
+    }
+
+    bool isCall(std::uint64_t call) const { return m_busy && m_call == call; }
+
+    void close()
+    {
+        if (m_closed)
+            return;
+        m_closed = true;
+        m_busy = false;
+        m_timer.cancel();
+        error_code ignored;
+        m_socket.close(ignored);
+        m_observer = {};
+        m_options.isOwnAnswer = nullptr;
+        removeFromIdle();
+    }
+
+    void pause() { m_paused = true; }
+
+    void resume()
+    {
+        m_paused = false;
+        read();
+    }
+
+private:
+    using parser = http::response_parser<http::string_body>;
+
+    void prepare(std::uint64_t call, const http_request &request, answer_observer observer,
+                 call_options options)
+    {
+        m_call = call;
+        m_busy = true;
+        m_paused = false;
+        m_written = false;
+        m_startedWriting = false;
+        m_observer = std::move(observer);
+        m_options = std::move(options);
+        m_started = m_clock.now();
+        m_isHead = request.method() == http::verb::head;
+        m_out = serializeRequest(request);
+        startParser();
+    }
+
+    void startParser()
+    {
+        m_parser = std::make_unique<parser>();
+        m_parser->header_limit(maxHeadBytes);
+        m_parser->body_limit(boost::none);
+        m_parser->eager(true);
+        if (m_isHead)
+            m_parser->skip(true);
+        m_headReported = false;
+        m_own = true;
+        m_anyByte = false;
+    }
+
+    void setTimer(duration time)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error && self->m_busy)
+                self->fail(self->m_startedWriting ? call_failure::timeout : call_failure::notSent);
+        });
+    }
+
+    void send()
+    {
+        m_timer.cancel();
+        if (m_options.timeout.count() > 0)
+            setTimer(std::max<duration>(m_options.timeout - (m_clock.now() - m_started),
+                                        std::chrono::milliseconds(1)));
+        m_startedWriting = true;
+        asio::async_write(
+            m_socket, asio::buffer(m_out),
+            [self = shared_from_this(), call = m_call](error_code error, std::size_t count) {
+                self->onWritten(call, error, count);
+            });
+    }
+
+    void onWritten(std::uint64_t call, error_code error, std::size_t count)
+    {
+        if (m_closed || m_call != call || !m_busy)
+            return;
+        if (error) {
+            fail(count == 0 ? call_failure::notSent : call_failure::broken);
+            return;
+        }
+        m_written = true;
+        m_out.clear();
+        m_out.shrink_to_fit();
+    }
+
+    void read()
+    {
+        if (m_reading || m_closed || m_paused)
+            return;
+        m_reading = true;
+        m_socket.async_read_some(m_buffer.prepare(readBytes),
+                                 [self = shared_from_this()](error_code error, std::size_t count) {
+                                     self->m_reading = false;
+                                     self->onRead(error, count);
+                                 });
+    }
+
+    void onRead(error_code error, std::size_t count)
+    {
+        if (m_closed)
+            return;
+        if (!m_busy) {
+            close();
+            return;
+        }
+        if (error) {
+            onReadError(error);
+            return;
+        }
+        m_anyByte = true;
+        m_buffer.commit(count);
+        const auto self = shared_from_this();
+        parse();
+        read();
+    }
+
+    void onReadError(const error_code &error)
+    {
+        if (error == asio::error::eof && m_anyByte && m_own && m_parser->is_header_done()
+            && !m_parser->is_done()) {
+            error_code ended;
+            m_parser->put_eof(ended);
+            if (!ended && m_parser->is_done()) {
+                finish(false);
+                return;
+            }
+        }
+        fail(call_failure::broken);
+    }
+
+    void parse()
+    {
+        while (m_busy && !m_closed && m_buffer.size() > 0) {
+            if (m_parser->is_done())
+                return;
+            error_code error;
+            const std::size_t used = m_parser->put(m_buffer.cdata(), error);
+            m_buffer.consume(used);
+            if (error && error != http::error::need_more) {
+                fail(call_failure::malformed);
+                return;
+            }
+            if (!reportProgress())
+                return;
+            if (error == http::error::need_more || used == 0)
+                return;
+        }
+    }
+
+    /// \returns false if the call has ended.
+    bool reportProgress()
+    {
+        const std::uint64_t call = m_call;
+        if (m_parser->is_header_done() && !m_headReported) {
+            m_headReported = true;
+            if (m_parser->get().result_int() / 100 == 1) {
+                startParser();
+                return true;
+            }
+            m_own = !m_options.isOwnAnswer || m_options.isOwnAnswer(m_parser->get().base());
+            if (m_own) {
+                m_keepAlive = keepAliveTime(m_parser->get().base());
+                m_observer.onHead(m_parser->get().base());
+            }
+        }
+        if (!isCall(call))
+            return false;
+        std::string body;
+        body.swap(m_parser->get().body());
+        if (m_own && !body.empty())
+            m_observer.onBody(std::move(body));
+        if (!isCall(call))
+            return false;
+        if (m_parser->is_done()) {
+            if (!m_own) {
+                startParser();
+                return true;
+            }
+            finish(m_parser->get().keep_alive());
+            return false;
+        }
+        return true;
+    }
+
+    void finish(bool keep)
+    {
+        const auto onEnd = std::move(m_observer.onEnd);
+        m_observer = {};
+        m_options.isOwnAnswer = nullptr;
+        m_busy = false;
+        m_timer.cancel();
+        // An answer before the end of its request leaves a connection in an unknown state.
+        if (!keep || !m_written || m_buffer.size() > 0 || m_paused || m_shared->stopped)
+            close();
+        else
+            park();
+        onEnd();
+    }
+
+    void park()
+    {
+        m_idleSince = m_clock.now();
+        auto &kept = m_shared->idle[m_peer];
+        if (kept.size() >= maxIdleConnections) {
+            close();
+            return;
+        }
+        kept.push_back(shared_from_this());
+    }
+
+    void fail(call_failure failure)
+    {
+        const auto onFailure = std::move(m_observer.onFailure);
+        const auto self = shared_from_this();
+        close();
+        onFailure(failure);
+    }
+
+    void removeFromIdle()
+    {
+        const auto found = m_shared->idle.find(m_peer);
+        if (found == m_shared->idle.end())
+            return;
+        auto &kept = found->second;
+        const auto self = shared_from_this();
+        kept.erase(std::remove(kept.begin(), kept.end(), self), kept.end());
+        if (kept.empty())
+            m_shared->idle.erase(found);
+    }
+
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    const clock &m_clock;
+    std::string m_peer;
+    std::shared_ptr<shared_state> m_shared;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<parser> m_parser;
+    answer_observer m_observer;
+    call_options m_options;
+    std::string m_out;
+    std::uint64_t m_call = 0;
+    time_point m_started;
+    time_point m_idleSince;
+    std::chrono::milliseconds m_keepAlive = assumedKeepAlive;
+    bool m_connected = false;
+    bool m_busy = false;
+    bool m_closed = false;
+    bool m_reading = false;
+    bool m_paused = false;
+    bool m_written = false;
+    bool m_startedWriting = false;
+    bool m_headReported = false;
+    bool m_own = true;
+    bool m_anyByte = false;
+    bool m_isHead = false;
+};
+
+void async_client::call_handle::cancel()
+{
+    const auto open = m_connection.lock();
+    if (open && open->isCall(m_call))
+        open->close();
+    m_connection.reset();
+}
+
+void async_client::call_handle::pause()
+{
+    const auto open = m_connection.lock();
+    if (open && open->isCall(m_call))
+        open->pause();
+}
+
+void async_client::call_handle::resume()
+{
+    const auto open = m_connection.lock();
+    if (open && open->isCall(m_call))
+        open->resume();
+}
+
+async_client::async_client(asio::io_context &io, const clock &time)
+    : m_io(io)
+    , m_clock(time)
+    , m_shared(std::make_shared<shared_state>())
+{ }
+
+async_client::~async_client()
+{
+    stop();
+}
+
+async_client::call_handle async_client::call(const tcp::endpoint &server, const std::string &peer,
+                                             const http_request &request, answer_observer observer,
+                                             call_options options)
+{
+    call_handle handle;
+    handle.m_call = ++m_lastCall;
+    if (const auto kept = takeIdle(peer, options.maxIdleShare)) {
+        handle.m_connection = kept;
+        kept->reuse(handle.m_call, request, std::move(observer), std::move(options));
+        return handle;
+    }
+    const auto opened = std::make_shared<connection>(m_io, m_clock, peer, m_shared);
+    handle.m_connection = opened;
+    opened->open(server, handle.m_call, request, std::move(observer), std::move(options));
+    return handle;
+}
+
+std::shared_ptr<async_client::connection> async_client::takeIdle(const std::string &peer,
+                                                                 double maxIdleShare)
+{
+    // Those too old for this call are left for calls that may be repeated.
+    const auto found = m_shared->idle.find(peer);
+    if (found == m_shared->idle.end() || found->second.empty())
+        return nullptr;
+    const std::shared_ptr<connection> newest = found->second.back();
+    if (!newest->isFresh(maxIdleShare))
+        return nullptr;
+    found->second.pop_back();
+    return newest;
+}
+
+void async_client::forget(const std::string &peer)
+{
+    const auto found = m_shared->idle.find(peer);
+    if (found == m_shared->idle.end())
+        return;
+    const auto kept = std::move(found->second);
+    m_shared->idle.erase(found);
+    for (const auto &idle : kept)
+        idle->close();
+}
+
+void async_client::stop()
+{
+    m_shared->stopped = true;
+    const auto idle = std::move(m_shared->idle);
+    m_shared->idle.clear();
+    for (const auto &entry : idle) {
+        for (const auto &kept : entry.second)
+            kept->close();
+    }
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/async_server.cc
@@ -0,0 +1,482 @@
+// Each connection keeps one read and at most one write pending. Reading goes on while a request is
+// answered, up to a bound, because only a read shows that the client has left.
+
+#include "goldcrestdeck/async_server.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace goldcrestdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// One read's size; small, since most connections are idle most of the time.
+constexpr std::size_t readBytes = 4096;
+/// One read's size within a body.
+constexpr std::size_t bodyReadBytes = 64 * 1024;
+/// Bytes of later requests that are taken in while one is answered; then the client has to wait.
+constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+/// How long a client may take to close after the last answer on its connection.
+constexpr std::chrono::milliseconds lingerTime{1000};
+/// Seconds of silence before the first keep-alive probe, and between probes.
+constexpr int probeSeconds = 1;
+/// Unanswered probes after which the peer counts as gone.
+constexpr int probeCount = 3;
+/// Milliseconds that sent bytes may stay unacknowledged.
+constexpr unsigned unacknowledgedMs = 3000;
+/// Connections waiting to be accepted.
+constexpr int acceptBacklog = 1024;
+
+} // namespace
+
+bool operator==(const client_limits &a, const client_limits &b)
+{
+    return a.maxHeadBytes == b.maxHeadBytes && a.maxBodyBytes == b.maxBodyBytes
+        && a.headTimeout == b.headTimeout && a.idleTimeout == b.idleTimeout;
+}
+
+void setPeerTimeouts(tcp::socket &socket)
+{
+    const int fd = socket.native_handle();
+    const int on = 1;
+    // A refused option leaves the kernel's defaults, which are slower but sound.
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof probeSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof probeSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof probeCount);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof unacknowledgedMs);
+}
+
+struct async_server::shared_state {
+    client_limits limits;
+    handler handle;
+    bool closeAfterAnswers = false;
+    std::set<std::shared_ptr<connection>> connections;
+};
+
+class async_server::connection : public http_answer,
+                                 public std::enable_shared_from_this<async_server::connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<shared_state> state)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_state(std::move(state))
+    { }
+
+    void start()
+    {
+        setPeerTimeouts(m_socket);
+        awaitRequest();
+        read();
+    }
+
+    bool isIdle() const { return m_phase == phase::idle && m_buffer.size() == 0; }
+
+    /// Ends an idle connection in order, so that the client sees its end and not a reset.
+    void closeInOrder()
+    {
+        m_phase = phase::closing;
+        error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        setTimer(lingerTime);
+    }
+
+    void close()
+    {
+        if (m_phase == phase::closed)
+            return;
+        const bool answering = m_phase == phase::answering;
+        m_phase = phase::closed;
+        m_timer.cancel();
+        error_code ignored;
+        m_socket.close(ignored);
+        const auto gone = std::move(m_gone);
+        m_gone = nullptr;
+        m_writable = nullptr;
+        const auto self = shared_from_this();
+        m_state->connections.erase(self);
+        if (answering && gone)
+            gone();
+    }
+
+    void send(http_response response) override
+    {
+        const bool last = isLastAnswer();
+        response.version(11);
+        response.keep_alive(!last);
+        response.prepare_payload();
+        std::string bytes = serializeHead(response.base());
+        if (!m_isHead)
+            bytes += response.body();
+        finish(std::move(bytes), last);
+    }
+
+    void begin(http_response_head head) override
+    {
+        head.version(11);
+        m_chunked = m_requestVersion >= 11;
+        m_lastAnswer = isLastAnswer() || !m_chunked;
+        head.erase(http::field::content_length);
+        if (m_chunked)
+            head.set(http::field::transfer_encoding, "chunked");
+        if (m_lastAnswer)
+            head.set(http::field::connection, "close");
+        queue(serializeHead(head));
+    }
+
+    void write(const std::string &piece) override
+    {
+        if (!piece.empty() && !m_isHead)
+            queue(m_chunked ? encodeChunk(piece) : piece);
+    }
+
+    void end() override { finish(m_chunked && !m_isHead ? closingChunk : "", m_lastAnswer); }
+
+    void abort() override
+    {
+        m_gone = nullptr;
+        close();
+    }
+
+    std::size_t unsentBytes() const override { return m_writing.size() + m_waiting.size(); }
+
+    void watch(std::function<void()> gone, std::function<void()> writable) override
+    {
+        m_gone = std::move(gone);
+        m_writable = std::move(writable);
+    }
+
+private:
+    enum class phase { idle, readingHead, readingBody, answering, closing, closed };
+    using parser = http::request_parser<http::string_body>;
+
+    bool isLastAnswer() const { return m_state->closeAfterAnswers || !m_keepAlive; }
+
+    void setTimer(std::chrono::milliseconds time)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error)
+                self->expire();
+        });
+    }
+
+    void expire()
+    {
+        if (m_phase == phase::readingHead || m_phase == phase::readingBody)
+            reject(http::status::request_timeout);
+        else
+            close();
+    }
+
+    void awaitRequest()
+    {
+        m_phase = phase::idle;
+        setTimer(m_state->limits.idleTimeout);
+    }
+
+    void read()
+    {
+        if (m_reading || m_phase == phase::closed)
+            return;
+        if (m_phase == phase::answering && m_buffer.size() >= maxPipelinedBytes)
+            return;
+        m_reading = true;
+        const std::size_t size = m_phase == phase::readingBody ? bodyReadBytes : readBytes;
+        m_socket.async_read_some(m_buffer.prepare(size),
+                                 [self = shared_from_this()](error_code error, std::size_t count) {
+                                     self->m_reading = false;
+                                     self->onRead(error, count);
+                                 });
+    }
+
+    void onRead(error_code error, std::size_t count)
+    {
+        if (m_phase == phase::closed)
+            return;
+        if (error) {
+            close();
+            return;
+        }
+        if (m_phase == phase::closing) {
+            m_buffer.clear();
+        } else {
+            m_buffer.commit(count);
+            parse();
+        }
+        read();
+    }
+
+    void parse()
+    {
+        if (m_phase == phase::idle && m_buffer.size() > 0) {
+            m_phase = phase::readingHead;
+            setTimer(m_state->limits.headTimeout);
+        }
+        if (m_phase == phase::readingHead)
+            parseHead();
+        if (m_phase == phase::readingBody)
+            parseBody();
+    }
+
+    void parseHead()
+    {
+        const auto data = m_buffer.cdata();
+        const std::string bytes(static_cast<const char *>(data.data()),
+                                std::min(data.size(), m_state->limits.maxHeadBytes + 1));
+        const std::size_t end = bytes.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            if (bytes.size() > m_state->limits.maxHeadBytes)
+                reject(http::status::request_header_fields_too_large);
+            else if (bytes.find("\n\n") != std::string::npos)
+                reject(http::status::bad_request);
+            return;
+        }
+        if (!isUnambiguousHead(bytes.substr(0, end + 4))) {
+            reject(http::status::bad_request);
+            return;
+        }
+        m_parser = std::make_unique<parser>();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeadBytes + 1));
+        m_parser->body_limit(m_state->limits.maxBodyBytes);
+        m_parser->eager(false);
+        error_code error;
+        const std::size_t used = m_parser->put(m_buffer.cdata(), error);
+        m_buffer.consume(used);
+        if (error && error != http::error::need_more) {
+            rejectParse(error);
+            return;
+        }
+        m_phase = phase::readingBody;
+        m_parser->eager(true);
+        if (m_parser->get()[http::field::expect] == "100-continue" && !m_parser->is_done())
+            queue("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    void parseBody()
+    {
+        error_code error;
+        while (!m_parser->is_done()) {
+            const std::size_t used = m_parser->put(m_buffer.cdata(), error);
+            m_buffer.consume(used);
+            if (error == http::error::need_more) {
+                setTimer(m_state->limits.idleTimeout);
+                return;
+            }
+            if (error) {
+                rejectParse(error);
+                return;
+            }
+            if (used == 0)
+                return;
+        }
+        dispatch();
+    }
+
+    void dispatch()
+    {
+        http_request request = m_parser->release();
+        m_parser.reset();
+        m_timer.cancel();
+        m_phase = phase::answering;
+        m_requestVersion = request.version();
+        m_keepAlive = request.keep_alive();
+        m_isHead = request.method() == http::verb::head;
+        m_gone = nullptr;
+        m_writable = nullptr;
+        m_chunked = false;
+        m_lastAnswer = false;
+        m_state->handle(std::move(request), shared_from_this());
+    }
+
+    void rejectParse(const error_code &error)
+    {
+        if (error == http::error::body_limit)
+            reject(http::status::payload_too_large);
+        else if (error == http::error::header_limit)
+            reject(http::status::request_header_fields_too_large);
+        else
+            reject(http::status::bad_request);
+    }
+
+    /// Answers what cannot be read as a request, and closes.
+    void reject(http::status status)
+    {
+        m_phase = phase::answering;
+        m_parser.reset();
+        m_keepAlive = false;
+        m_isHead = false;
+        http_response response(status, 11);
+        response.set(http::field::content_type, "application/json");
+        response.body() = R"({"code":"malformed_request","run":"no"})";
+        send(std::move(response));
+    }
+
+    void finish(std::string bytes, bool last)
+    {
+        m_gone = nullptr;
+        m_writable = nullptr;
+        m_closeWhenSent = last;
+        m_finishing = true;
+        m_waiting += bytes;
+        if (!m_writePending)
+            startWrite();
+    }
+
+    void queue(const std::string &bytes)
+    {
+        m_waiting += bytes;
+        if (!m_writePending)
+            startWrite();
+    }
+
+    void startWrite()
+    {
+        if (m_phase == phase::closed)
+            return;
+        if (m_waiting.empty()) {
+            onAllSent();
+            return;
+        }
+        m_writing.swap(m_waiting);
+        m_waiting.clear();
+        m_writePending = true;
+        asio::async_write(m_socket, asio::buffer(m_writing),
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              self->m_writePending = false;
+                              self->m_writing.clear();
+                              if (error)
+                                  self->close();
+                              else
+                                  self->startWrite();
+                          });
+    }
+
+    void onAllSent()
+    {
+        if (m_finishing) {
+            m_finishing = false;
+            if (m_closeWhenSent) {
+                closeInOrder();
+                read();
+                return;
+            }
+            awaitRequest();
+            parse();
+            read();
+            return;
+        }
+        if (m_writable) {
+            const auto writable = m_writable;
+            writable();
+        }
+    }
+
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<shared_state> m_state;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<parser> m_parser;
+    phase m_phase = phase::idle;
+    bool m_reading = false;
+    bool m_writePending = false;
+    bool m_finishing = false;
+    bool m_closeWhenSent = false;
+    bool m_keepAlive = true;
+    bool m_isHead = false;
+    bool m_chunked = false;
+    bool m_lastAnswer = false;
+    unsigned m_requestVersion = 11;
+    std::string m_writing;
+    std::string m_waiting;
+    std::function<void()> m_gone;
+    std::function<void()> m_writable;
+};
+
+async_server::async_server(asio::io_context &io, const tcp::endpoint &address, client_limits limits,
+                           handler handle)
+    : m_io(io)
+    , m_acceptor(io)
+    , m_state(std::make_shared<shared_state>())
+{
+    m_state->limits = limits;
+    m_state->handle = std::move(handle);
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen(acceptBacklog);
+    accept();
+}
+
+async_server::~async_server()
+{
+    stop();
+}
+
+void async_server::accept()
+{
+    m_acceptor.async_accept([this, state = m_state](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!error) {
+            const auto accepted = std::make_shared<connection>(std::move(socket), state);
+            state->connections.insert(accepted);
+            accepted->start();
+        }
+        accept();
+    });
+}
+
+void async_server::setLimits(const client_limits &limits)
+{
+    m_state->limits = limits;
+}
+
+void async_server::closeAfterAnswers()
+{
+    m_state->closeAfterAnswers = true;
+}
+
+void async_server::closeIdle()
+{
+    const auto connections = m_state->connections;
+    for (const auto &open : connections) {
+        if (open->isIdle())
+            open->closeInOrder();
+    }
+}
+
+std::size_t async_server::openConnections() const
+{
+    return m_state->connections.size();
+}
+
+tcp::endpoint async_server::address() const
+{
+    return m_acceptor.local_endpoint();
+}
+
+void async_server::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    const auto connections = m_state->connections;
+    for (const auto &open : connections)
+        open->abort();
+}
+
+} // namespace goldcrestdeck
--- a/goldcrestdeck/event_stream.cc
+++ b/goldcrestdeck/event_stream.cc
@@ -9,7 +9,8 @@
 constexpr std::size_t maxEventBytes = 1024 * 1024;
 constexpr const char *closingEvent = "data: [DONE]";
 
-/// The position after the first blank line at or after \a from, or npos.
+} // namespace
+
 std::size_t eventEnd(const std::string &buffer, std::size_t from)
 {
     const std::size_t plain = buffer.find("\n\n", from);
@@ -19,8 +20,6 @@
     return std::min(plainEnd, carriageEnd);
 }
 
-} // namespace
-
 bool event_splitter::feed(const std::string &bytes, std::string &out)
 {
     m_buffer += bytes;
--- a/goldcrestdeck/event_stream.h
+++ b/goldcrestdeck/event_stream.h
@@ -11,6 +11,9 @@
 
 namespace goldcrestdeck {
 
+/// The position after the first blank line at or after \a from, or npos.
+std::size_t eventEnd(const std::string &buffer, std::size_t from);
+
 class event_splitter
 {
 public:
--- /dev/null
+++ b/goldcrestdeck/http_message.cc
@@ -0,0 +1,118 @@
+// Beast accepts folded lines and repeated fields, which another parser behind this one may read
+// differently; requests that use them are turned away before they are parsed.
+
+#include "goldcrestdeck/http_message.h"
+
+#include <sstream>
+#include <vector>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace goldcrestdeck {
+
+namespace http = boost::beast::http;
+
+const char *const closingChunk = "0\r\n\r\n";
+
+namespace {
+
+bool isControlByte(char byte)
+{
+    const auto code = static_cast<unsigned char>(byte);
+    return (code < 0x20 && byte != '\t') || code == 0x7f;
+}
+
+/// How often the fields that frame a message occur.
+struct framing_fields {
+    int lengths = 0;
+    int codings = 0;
+    int hosts = 0;
+};
+
+bool isUnambiguousField(const std::string &line, framing_fields &seen)
+{
+    if (line.front() == ' ' || line.front() == '\t')
+        return false;
+    const std::size_t colon = line.find(':');
+    if (colon == std::string::npos || colon == 0 || line[colon - 1] == ' '
+        || line[colon - 1] == '\t')
+        return false;
+    const std::string name = line.substr(0, colon);
+    const std::string value = boost::algorithm::trim_copy(line.substr(colon + 1));
+    if (boost::algorithm::iequals(name, "Content-Length"))
+        return ++seen.lengths == 1 && !value.empty()
+            && value.find_first_not_of("0123456789") == std::string::npos;
+    if (boost::algorithm::iequals(name, "Transfer-Encoding"))
+        return ++seen.codings == 1 && boost::algorithm::iequals(value, "chunked");
+    if (boost::algorithm::iequals(name, "Host"))
+        return ++seen.hosts == 1;
+    return true;
+}
+
+} // namespace
+
+bool isUnambiguousHead(const std::string &head)
+{
+    framing_fields seen;
+    bool first = true;
+    for (std::size_t begin = 0; begin < head.size();) {
+        const std::size_t end = head.find("\r\n", begin);
+        if (end == std::string::npos)
+            return false;
+        const std::string line = head.substr(begin, end - begin);
+        begin = end + 2;
+        if (line.empty())
+            return begin == head.size() && !first && (seen.lengths == 0 || seen.codings == 0);
+        for (const char byte : line) {
+            if (isControlByte(byte))
+                return false;
+        }
+        if (!first && !isUnambiguousField(line, seen))
+            return false;
+        first = false;
+    }
+    return false;
+}
+
+void removeConnectionFields(http_fields &fields)
+{
+    std::vector<std::string> named;
+    for (const auto token : http::token_list(fields[http::field::connection]))
+        named.emplace_back(token);
+    for (const std::string &name : named)
+        fields.erase(name);
+    for (const http::field name :
+         {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+          http::field::transfer_encoding, http::field::te, http::field::trailer,
+          http::field::upgrade, http::field::expect})
+        fields.erase(name);
+}
+
+std::string serializeHead(const http_response_head &head)
+{
+    std::ostringstream out;
+    out << head;
+    return out.str();
+}
+
+std::string serializeRequest(const http_request &request)
+{
+    std::ostringstream out;
+    out << request.base();
+    std::string bytes = out.str();
+    bytes += request.body();
+    return bytes;
+}
+
+std::string encodeChunk(const std::string &data)
+{
+    std::ostringstream size;
+    size << std::hex << data.size();
+    return size.str() + "\r\n" + data + "\r\n";
+}
+
+} // namespace goldcrestdeck
--- a/goldcrestdeck/log.cc
+++ b/goldcrestdeck/log.cc
@@ -1,5 +1,10 @@
 #include "goldcrestdeck/log.h"
 
+#include <atomic>
+#include <chrono>
+#include <mutex>
+
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -9,6 +14,51 @@
 
 namespace {
 
+constexpr const char *linePattern
+    = R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","host":"%n",%v})";
+/// Lines that may wait for the reader; then the oldest are dropped.
+constexpr std::size_t queuedLines = 2048;
+/// How often the lines written are handed to the reader.
+constexpr std::chrono::seconds flushInterval{1};
+/// Lines of ordinary events in a second; a busy host serves some dozens of requests a second.
+constexpr int maxLinesPerSecond = 500;
+
+/// Counts the ordinary lines of each second.
+class line_limiter
+{
+public:
+    /// \returns whether a line may be written; \a leftOut gets the lines left out in the second
+    /// before, if one has just ended.
+    bool admit(std::int64_t second, int &leftOut)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (second != m_second) {
+            leftOut = m_leftOut;
+            m_second = second;
+            m_lines = 0;
+            m_leftOut = 0;
+        }
+        if (++m_lines <= maxLinesPerSecond)
+            return true;
+        ++m_leftOut;
+        return false;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::int64_t m_second = 0;
+    int m_lines = 0;
+    int m_leftOut = 0;
+};
+
+line_limiter &limiter()
+{
+    static line_limiter instance;
+    return instance;
+}
+
+std::atomic<bool> limited{false};
+
 spdlog::level::level_enum spdlogLevel(log_level level)
 {
     switch (level) {
@@ -37,15 +87,43 @@
 {
     spdlog::drop(host);
     const auto logger = spdlog::stderr_logger_mt(host);
-    logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","host":"%n",%v})",
-                        spdlog::pattern_time_type::utc);
+    logger->set_pattern(linePattern, spdlog::pattern_time_type::utc);
     logger->set_level(spdlogLevel(lowest));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+void initQueuedLog(const std::string &host, log_level lowest)
+{
+    spdlog::drop(host);
+    spdlog::init_thread_pool(queuedLines, 1);
+    const auto logger = std::make_shared<spdlog::async_logger>(
+        host, std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern(linePattern, spdlog::pattern_time_type::utc);
+    logger->set_level(spdlogLevel(lowest));
+    spdlog::set_default_logger(logger);
+    spdlog::flush_every(flushInterval);
+    limited = true;
+}
+
+void stopLog()
+{
+    spdlog::shutdown();
+}
+
 void logEvent(log_level level, const std::string &event, const std::vector<log_field> &fields)
 {
+    if (limited && level == log_level::info) {
+        int leftOut = 0;
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::steady_clock::now().time_since_epoch());
+        const bool admitted = limiter().admit(second.count(), leftOut);
+        if (leftOut > 0)
+            logEvent(log_level::warning, "lines_left_out", {{"count", std::to_string(leftOut)}});
+        if (!admitted)
+            return;
+    }
     std::string line = "\"event\":" + quoted(event);
     for (const log_field &field : fields)
         line += ',' + quoted(field.name) + ':' + quoted(field.value);
--- a/goldcrestdeck/log.h
+++ b/goldcrestdeck/log.h
@@ -2,8 +2,12 @@
 #define GOLDCRESTDECK_LOG_H_
 
 /// \file
-/// Structured logs: one JSON object a line on standard error, for changes of state only. What
-/// happens to each request is counted (metrics.h) and traced (trace.h), not logged.
+/// Structured logs: one JSON object a line.
+///
+/// The entry host's daemon writes changes of state to standard error, at once. The router writes
+/// one line for each decision to standard output, through a bounded queue: a reader that stops
+/// reading loses lines, oldest first, and blocks nothing. Above a rate, lines are left out and
+/// counted.
 
 #include <string>
 #include <vector>
@@ -20,6 +24,11 @@
 /// Sets the host's name in each line and the lowest level that is written.
 void initLog(const std::string &host, log_level lowest);
 
+/// Sends the lines to standard output through a queue; call stopLog() before the process ends.
+void initQueuedLog(const std::string &host, log_level lowest);
+/// Writes out what is queued.
+void stopLog();
+
 /// \a event is a stable name in snake case.
 void logEvent(log_level level, const std::string &event, const std::vector<log_field> &fields = {});
 
--- /dev/null
+++ b/goldcrestdeck/numbered_events.cc
@@ -0,0 +1,60 @@
+#include "goldcrestdeck/numbered_events.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "goldcrestdeck/event_stream.h"
+
+namespace goldcrestdeck {
+
+namespace {
+
+constexpr std::size_t maxEventBytes = 1024 * 1024;
+
+std::optional<std::uint64_t> eventId(const std::string &text)
+{
+    for (std::size_t begin = 0; begin < text.size();) {
+        const std::size_t end = std::min(text.find('\n', begin), text.size());
+        if (text.compare(begin, 3, "id:") == 0) {
+            std::size_t digits = begin + 3;
+            if (digits < end && text[digits] == ' ')
+                ++digits;
+            std::size_t last = end;
+            if (last > digits && text[last - 1] == '\r')
+                --last;
+            const std::string number = text.substr(digits, last - digits);
+            if (number.empty() || number.size() > 18
+                || number.find_first_not_of("0123456789") != std::string::npos)
+                return std::nullopt;
+            return std::strtoull(number.c_str(), nullptr, 10);
+        }
+        begin = end + 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<numbered_event> numbered_event_splitter::feed(const std::string &bytes)
+{
+    m_buffer += bytes;
+    std::vector<numbered_event> events;
+    std::size_t passed = 0;
+    for (std::size_t end = eventEnd(m_buffer, passed); end != std::string::npos;
+         end = eventEnd(m_buffer, passed)) {
+        numbered_event event;
+        event.text = m_buffer.substr(passed, end - passed);
+        event.id = eventId(event.text);
+        events.push_back(std::move(event));
+        passed = end;
+    }
+    m_buffer.erase(0, passed);
+    return events;
+}
+
+bool numbered_event_splitter::isOverlong() const
+{
+    return m_buffer.size() > maxEventBytes;
+}
+
+} // namespace goldcrestdeck
--- a/goldcrestdeck/peer_link.cc
+++ b/goldcrestdeck/peer_link.cc
@@ -35,19 +35,6 @@
 
 } // namespace
 
-tcp::endpoint parseEndpoint(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    int port = 0;
-    if (colon != std::string::npos)
-        port = std::atoi(address.c_str() + colon + 1);
-    if (error || port <= 0 || port > UINT16_MAX)
-        throw peer_error("not ip:port: '" + address + "'");
-    return {ip, static_cast<std::uint16_t>(port)};
-}
-
 /// Reads and writes frames on one socket.
 class peer_link::connection : public std::enable_shared_from_this<connection>
 {
--- a/goldcrestdeck/peer_link.h
+++ b/goldcrestdeck/peer_link.h
@@ -17,6 +17,7 @@
 
 #include <boost/asio.hpp>
 
+#include "goldcrestdeck/endpoint.h"
 #include "goldcrestdeck/peer_message.h"
 
 namespace goldcrestdeck {
@@ -70,9 +71,6 @@
     peer_traffic m_traffic;
 };
 
-/// Splits "ip:port". \throws peer_error
-boost::asio::ip::tcp::endpoint parseEndpoint(const std::string &address);
-
 } // namespace goldcrestdeck
 
 #endif // GOLDCRESTDECK_PEER_LINK_H_
--- /dev/null
+++ b/goldcrestdeck/retry_allowance.cc
@@ -0,0 +1,56 @@
+// Buckets of a fraction of the window: any span of the window's length counts, and the error of
+// counting whole buckets is covered by the margin.
+
+#include "goldcrestdeck/retry_allowance.h"
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Buckets in a window.
+constexpr int bucketsPerWindow = 20;
+
+} // namespace
+
+retry_allowance::retry_allowance(retry_parameters parameters)
+    : m_parameters(parameters)
+{ }
+
+void retry_allowance::noteRequest(time_point now)
+{
+    current(now).requests += 1;
+}
+
+bool retry_allowance::mayRepeat(repeat_reason reason, time_point now) const
+{
+    double requests = 0;
+    double repeats = 0;
+    for (const bucket &counted : m_buckets) {
+        if (now - counted.begin > m_parameters.window)
+            continue;
+        requests += counted.requests;
+        repeats += counted.repeats;
+    }
+    const double ratio = m_parameters.ratio * m_parameters.margin;
+    if (reason == repeat_reason::upgrade)
+        return repeats + 1 <= ratio * m_parameters.upgradePart * requests;
+    return repeats + 1
+        <= ratio * requests + m_parameters.slack * m_parameters.margin / m_parameters.hosts;
+}
+
+void retry_allowance::noteRepeat(time_point now)
+{
+    current(now).repeats += 1;
+}
+
+retry_allowance::bucket &retry_allowance::current(time_point now)
+{
+    const auto length = m_parameters.window / bucketsPerWindow;
+    if (m_buckets.empty() || now - m_buckets.back().begin >= length)
+        m_buckets.push_back({now});
+    while (now - m_buckets.front().begin > m_parameters.window + length)
+        m_buckets.pop_front();
+    return m_buckets.back();
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/router_metrics.cc
@@ -0,0 +1,96 @@
+#include "goldcrestdeck/router_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Seconds; finest around the users' latency targets.
+const prometheus::Histogram::BucketBoundaries latencyBuckets
+    = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 0.91, 1.5, 3, 6, 12, 25};
+
+prometheus::Family<prometheus::Counter> &
+counterFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name("goldcrestdeck_" + name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram> &
+histogramFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildHistogram().Name("goldcrestdeck_" + name).Help(help).Register(registry);
+}
+
+} // namespace
+
+router_metrics::router_metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_answers(counterFamily(*m_registry, "router_answers_total",
+                              "Final answers by route kind, status and outcome."))
+    , m_sends(counterFamily(*m_registry, "router_sends_total",
+                            "Sends to upstream instances by result."))
+    , m_repeats(
+          counterFamily(*m_registry, "router_repeats_total", "Requests sent once more, by reason."))
+    , m_storeContacts(counterFamily(*m_registry, "router_store_contacts_total",
+                                    "Calls to the key-value service that confirmed the view."))
+    , m_firstByteSeconds(histogramFamily(*m_registry, "router_first_byte_seconds",
+                                         "Time to an answer's first byte from upstream."))
+    , m_answerSeconds(
+          histogramFamily(*m_registry, "router_answer_seconds", "Time to an answer's end."))
+    , clientsGone(counterFamily(*m_registry, "router_clients_gone_total",
+                                "Clients that left before their answer's end.")
+                      .Add({}))
+    , configVersion(gauge("router_config_version", "Version of the configuration in force."))
+    , instances(gauge("router_instances", "Upstream instances known."))
+    , requestsInProgress(gauge("router_requests_in_progress", "Requests being served."))
+    , upstreamConnections(gauge("router_upstream_connections", "Open connections to upstreams."))
+{ }
+
+std::string router_metrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+prometheus::Counter &router_metrics::answers(const std::string &kind, unsigned status,
+                                             const std::string &outcome)
+{
+    return m_answers.Add(
+        {{"kind", kind}, {"status", std::to_string(status)}, {"outcome", outcome}});
+}
+
+prometheus::Counter &router_metrics::sends(const std::string &result)
+{
+    return m_sends.Add({{"result", result}});
+}
+
+prometheus::Counter &router_metrics::repeats(const std::string &reason)
+{
+    return m_repeats.Add({{"reason", reason}});
+}
+
+prometheus::Counter &router_metrics::storeContacts(const std::string &outcome)
+{
+    return m_storeContacts.Add({{"outcome", outcome}});
+}
+
+prometheus::Histogram &router_metrics::firstByteSeconds(const std::string &kind)
+{
+    return m_firstByteSeconds.Add({{"kind", kind}}, latencyBuckets);
+}
+
+prometheus::Histogram &router_metrics::answerSeconds(const std::string &kind)
+{
+    return m_answerSeconds.Add({{"kind", kind}}, latencyBuckets);
+}
+
+prometheus::Gauge &router_metrics::gauge(const std::string &name, const std::string &help)
+{
+    return prometheus::BuildGauge()
+        .Name("goldcrestdeck_" + name)
+        .Help(help)
+        .Register(*m_registry)
+        .Add({});
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/router_metrics.h
@@ -0,0 +1,57 @@
+#ifndef GOLDCRESTDECK_ROUTER_METRICS_H_
+#define GOLDCRESTDECK_ROUTER_METRICS_H_
+
+/// \file
+/// Counters, gauges and histograms of the router daemon, in the Prometheus text form.
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace goldcrestdeck {
+
+class router_metrics
+{
+public:
+    router_metrics();
+
+    /// The text of /metrics.
+    std::string serialize() const;
+
+    /// Final answers by route kind, status and what decided them.
+    prometheus::Counter &answers(const std::string &kind, unsigned status,
+                                 const std::string &outcome);
+    prometheus::Counter &sends(const std::string &result);
+    prometheus::Counter &repeats(const std::string &reason);
+    prometheus::Counter &storeContacts(const std::string &outcome);
+    prometheus::Histogram &firstByteSeconds(const std::string &kind);
+    prometheus::Histogram &answerSeconds(const std::string &kind);
+
+private:
+    // Declared before what is registered in it.
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_answers;
+    prometheus::Family<prometheus::Counter> &m_sends;
+    prometheus::Family<prometheus::Counter> &m_repeats;
+    prometheus::Family<prometheus::Counter> &m_storeContacts;
+    prometheus::Family<prometheus::Histogram> &m_firstByteSeconds;
+    prometheus::Family<prometheus::Histogram> &m_answerSeconds;
+
+    prometheus::Gauge &gauge(const std::string &name, const std::string &help);
+
+public:
+    prometheus::Counter &clientsGone;
+    prometheus::Gauge &configVersion;
+    prometheus::Gauge &instances;
+    prometheus::Gauge &requestsInProgress;
+    prometheus::Gauge &upstreamConnections;
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_ROUTER_METRICS_H_
--- /dev/null
+++ b/goldcrestdeck/routing_view.h
@@ -0,0 +1,38 @@
+#ifndef GOLDCRESTDECK_ROUTING_VIEW_H_
+#define GOLDCRESTDECK_ROUTING_VIEW_H_
+
+/// \file
+/// What the control thread tells the traffic thread: an immutable snapshot of configuration,
+/// instances and roll-outs.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "goldcrestdeck/instance_directory.h"
+#include "goldcrestdeck/routing_config.h"
+#include "goldcrestdeck/version_rollout.h"
+
+namespace goldcrestdeck {
+
+/// A roll-out of one service, as far as this host knows.
+struct service_rollout {
+    rollout_order order;
+    rollout_record record;
+    time_point seenAt;      ///< When this host first read the record.
+    bool judgedBad = false; ///< By this host; the shared record may not say so yet.
+
+    /// Part of the order's duration that has passed.
+    double elapsedPart(time_point now) const;
+};
+
+struct routing_view {
+    std::shared_ptr<const routing_config> config;           ///< nullptr: none known yet.
+    std::map<std::string, std::vector<instance>> instances; ///< By service.
+    std::map<std::string, service_rollout> rollouts;        ///< By service.
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_ROUTING_VIEW_H_
--- /dev/null
+++ b/goldcrestdeck/store_follower.h
@@ -0,0 +1,160 @@
+#ifndef GOLDCRESTDECK_STORE_FOLLOWER_H_
+#define GOLDCRESTDECK_STORE_FOLLOWER_H_
+
+/// \file
+/// Follows what the key-value service holds for this system, and moves roll-outs on.
+///
+/// start() reads everything once; after that one feed of changes is asked for at a steady pace,
+/// whatever changed. Every change of belief is published as a new routing_view. The configuration
+/// never goes back to a lower version within one process. All on the control thread.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "goldcrestdeck/async_kv_store.h"
+#include "goldcrestdeck/router_settings.h"
+#include "goldcrestdeck/routing_view.h"
+
+namespace goldcrestdeck {
+
+/// Where things lie in the key-value service and how they are written there. The decoders throw
+/// json_error.
+struct store_layout {
+    std::string configKey;
+    std::string instancePrefix;
+    std::string orderPrefix;  ///< Followed by the service's name.
+    std::string statusPrefix; ///< Followed by the service's name.
+    std::string ownPrefix;    ///< Of keys that belong to this system alone.
+    std::function<routing_config(const std::string &)> decodeConfig;
+    std::function<instance(const std::string &key, const std::string &)> decodeInstance;
+    std::function<rollout_order(const std::string &, std::uint64_t revision)> decodeOrder;
+    std::function<std::string(const rollout_record &)> encodeStatus;
+};
+
+/// One answer of a service that is being rolled out.
+struct rollout_answer {
+    std::string service;
+    std::string route;
+    version_side side = version_side::established;
+    bool failed = false;
+    bool slow = false;
+};
+
+class store_follower
+{
+public:
+    using view_listener = std::function<void(std::shared_ptr<const routing_view>)>;
+    /// Called with the time at which the newest confirming call was sent.
+    using confirm_listener = std::function<void(time_point)>;
+
+    store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
+                   store_layout layout, const router_settings &settings, view_listener onView,
+                   confirm_listener onConfirmed);
+
+    void start();
+    void stop();
+    void setSettings(const router_settings &settings);
+
+    /// Asks the service now whether anything has changed. \a done gets false if it did not answer.
+    void confirm(std::function<void(bool)> done);
+
+    void noteAnswer(const rollout_answer &answer);
+
+    bool hasConfig() const { return m_config != nullptr; }
+
+private:
+    struct known_record {
+        rollout_record record;
+        std::uint64_t revision = 0;
+        time_point seenAt;
+    };
+    struct remote_tally {
+        std::uint64_t orderRevision = 0;
+        version_tally tally;
+        time_point seenAt;
+    };
+    struct own_tally {
+        std::uint64_t orderRevision = 0;
+        version_tally candidate;
+        version_tally established;
+        double candidateAnswers = 0; ///< All of them, without decay.
+        double unpublishedBad = 0;
+        time_point decayedAt;
+        time_point publishedAt;
+        bool judgedBad = false;
+        bool writing = false;
+    };
+    struct range_read {
+        std::vector<std::string> prefixes;
+        std::size_t next = 0;
+        std::vector<kv_item> items;
+        std::uint64_t revision = 0; ///< Of the first page: changes after it must be followed.
+        time_point sentAt;
+    };
+
+    std::chrono::milliseconds pollInterval() const;
+    void schedule(std::chrono::milliseconds wait);
+    void poll();
+    void readAll();
+    void readPage(const std::shared_ptr<range_read> &read, const std::string &after);
+    void onPage(const std::shared_ptr<range_read> &read, const kv_page &page);
+    void onAllRead(const range_read &read);
+    void onChanges(const kv_changes &changes, time_point sentAt);
+    void onContact(time_point sentAt);
+    void onNoAnswer(kv_outcome outcome);
+    void finishConfirms(bool answered);
+
+    void apply(const kv_item &item);
+    void applyDeletion(const std::string &key);
+    void applyConfig(const kv_item &item);
+    void applyInstance(const kv_item &item);
+    void applyOwn(const kv_item &item);
+    void publish();
+
+    void moveRollouts();
+    void moveRollout(const rollout_order &order);
+    void writeRecord(const rollout_order &order, std::uint64_t expected,
+                     const rollout_record &record, const char *reason);
+    void publishTally(const rollout_order &order, own_tally &tally);
+    own_tally &tallyFor(const rollout_order &order);
+    version_tally knownTally(const rollout_order &order, const own_tally &own) const;
+    std::size_t instancesOf(const rollout_order &order) const;
+    std::string recordKey(const std::string &service) const;
+    std::string tallyPrefix() const;
+    rollout_parameters parameters() const;
+
+    boost::asio::io_context &m_io;
+    const clock &m_clock;
+    async_kv_store m_store;
+    store_layout m_layout;
+    router_settings m_settings;
+    view_listener m_onView;
+    confirm_listener m_onConfirmed;
+
+    boost::asio::steady_timer m_timer;
+    bool m_stopped = false;
+    bool m_polling = false;
+    bool m_readEverything = false; ///< A whole read has succeeded and the feed follows it.
+    bool m_reachable = true;
+    bool m_dirty = false;
+    std::uint64_t m_revision = 0;
+    time_point m_lastContact;
+    time_point m_lastChange;
+    std::vector<std::function<void(bool)>> m_confirms;
+    std::vector<std::function<void(bool)>> m_nextConfirms; ///< Asked for while a poll was out.
+
+    std::shared_ptr<const routing_config> m_config;
+    instance_directory m_instances;
+    std::map<std::string, rollout_order> m_orders;
+    std::map<std::string, known_record> m_records;
+    std::map<std::string, remote_tally> m_remoteTallies; ///< By key.
+    std::map<std::string, own_tally> m_ownTallies;       ///< By service.
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_STORE_FOLLOWER_H_
--- /dev/null
+++ b/goldcrestdeck/traffic_state.cc
@@ -0,0 +1,298 @@
+#include "goldcrestdeck/traffic_state.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// For which an instance that turned a request away is used only after the others.
+constexpr std::chrono::milliseconds refusalPause{150};
+/// For which an instance that cannot be reached is left out; doubled with each failure in a row.
+constexpr std::chrono::milliseconds unreachablePause{500};
+constexpr int maxPauseDoublings = 3;
+/// For which an instance that fails much more than is usual is left out.
+constexpr std::chrono::milliseconds failurePause{2000};
+/// Smoothed share of failures, and answers seen, from which it is left out.
+constexpr double failureShareLimit = 0.4;
+constexpr double minAnswers = 5;
+/// Weight of one answer in the smoothed share.
+constexpr double failureWeight = 0.2;
+/// Part of the instances that must stay in use, whatever they do.
+constexpr double minInUse = 0.5;
+/// After this long without news, nothing more is sent to a version that is still being judged.
+constexpr std::chrono::milliseconds maxSilence{2500};
+/// For which an instance should still have cached what was sent there.
+constexpr std::chrono::milliseconds promptLifetime{20'000};
+/// Between two sweeps of what has grown old.
+constexpr std::chrono::milliseconds sweepInterval{1000};
+/// Time to an answer's begin, beside the established version's, that counts as slow.
+constexpr double slowRatio = 3;
+constexpr double slowSeconds = 0.25;
+constexpr double latencyWeight = 0.1;
+
+double positionOf(const std::string &key)
+{
+    return static_cast<double>(rendezvousRank(0, key))
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
+traffic_state::traffic_state(const router_settings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_prompts(promptLifetime)
+{ }
+
+void traffic_state::setSettings(const router_settings &settings)
+{
+    m_settings = settings;
+}
+
+void traffic_state::setView(std::shared_ptr<const routing_view> view)
+{
+    m_view = std::move(view);
+}
+
+std::optional<chosen_instance> traffic_state::choose(const placement_request &request,
+                                                     time_point now)
+{
+    expire(now);
+    version_side side = version_side::established;
+    std::string target;
+    bool inRollout = false;
+    const auto rollout = m_view->rollouts.find(request.service);
+    if (rollout != m_view->rollouts.end()) {
+        inRollout = true;
+        target = rollout->second.order.target;
+        side = chooseVersion(request, rollout->second, now);
+    }
+    std::vector<const instance *> candidates = eligible(request, side, target, !inRollout, now);
+    if (candidates.empty() && inRollout) {
+        side = side == version_side::established ? version_side::candidate
+                                                 : version_side::established;
+        candidates = eligible(request, side, target, false, now);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    static const std::vector<prompt_part> noPrompt;
+    const std::vector<prompt_part> &prompt = request.prompt != nullptr ? *request.prompt : noPrompt;
+    std::vector<placement_option> options;
+    options.reserve(candidates.size());
+    for (const instance *candidate : candidates) {
+        const std::string incarnation = candidate->incarnation();
+        const instance_state &state = m_instances[incarnation];
+        placement_option option;
+        option.incarnation = incarnation;
+        option.inFlight = state.inFlight;
+        option.slots = candidate->slots;
+        option.unreadTokens = state.unreadTokens;
+        option.missingTokens = std::max(
+            0.0,
+            request.promptTokens - m_prompts.cachedTokens(prompt, request.model, incarnation, now));
+        option.sameDomain = candidate->failureDomain == m_settings.failureDomain;
+        option.refusedLately = now < state.refusedUntil;
+        options.push_back(std::move(option));
+    }
+    // Without a prompt there is nothing to keep together: ties are broken at random.
+    const std::uint64_t affinity
+        = prompt.size() > 1 ? sharedPromptHash(prompt, request.model) : m_random();
+    const std::size_t best = place(options, affinity, placement_parameters());
+    return chosen_instance{*candidates[best], side, inRollout, options[best].missingTokens};
+}
+
+void traffic_state::noteSent(const placement_request &request, const chosen_instance &chosen,
+                             time_point now)
+{
+    const std::string incarnation = chosen.target.incarnation();
+    instance_state &state = m_instances[incarnation];
+    state.inFlight += 1;
+    state.unreadTokens += chosen.missingTokens;
+    if (request.prompt != nullptr)
+        m_prompts.noteSent(*request.prompt, request.model, incarnation, now);
+    if (request.hasSession)
+        m_sessions[request.service + ' ' + request.sessionKey] = {chosen.side, now};
+    const auto rollout = m_view->rollouts.find(request.service);
+    if (rollout == m_view->rollouts.end())
+        return;
+    rollout_parameters parameters;
+    parameters.exposureShare = m_settings.exposureShare;
+    parameters.exposureSlack = m_settings.exposureSlack;
+    const std::uint64_t order = rollout->second.order.revision;
+    auto meter = m_meters.find(request.service);
+    if (meter == m_meters.end() || meter->second.first != order)
+        meter = m_meters
+                    .insert_or_assign(request.service,
+                                      std::make_pair(order, exposure_meter(parameters)))
+                    .first;
+    meter->second.second.noteSent(chosen.side);
+}
+
+void traffic_state::noteBegun(const chosen_instance &chosen)
+{
+    instance_state &state = m_instances[chosen.target.incarnation()];
+    state.unreadTokens = std::max(0.0, state.unreadTokens - chosen.missingTokens);
+}
+
+void traffic_state::noteEnd(const chosen_instance &chosen, bool begun, send_result result,
+                            time_point now)
+{
+    if (!begun)
+        noteBegun(chosen);
+    instance_state &state = m_instances[chosen.target.incarnation()];
+    state.inFlight = std::max(0.0, state.inFlight - 1);
+    switch (result) {
+    case send_result::refused:
+        state.refusedUntil = now + refusalPause;
+        state.unreachable = 0;
+        return;
+    case send_result::unreachable:
+        state.ejectedUntil
+            = now + unreachablePause * (1 << std::min(state.unreachable, maxPauseDoublings));
+        ++state.unreachable;
+        return;
+    case send_result::abandoned:
+        return;
+    case send_result::answered:
+    case send_result::failed:
+        break;
+    }
+    state.unreachable = 0;
+    const double failed = result == send_result::failed ? 1 : 0;
+    state.answers += 1;
+    state.failureShare += failureWeight * (failed - state.failureShare);
+    if (state.answers >= minAnswers && state.failureShare > failureShareLimit) {
+        state.ejectedUntil = now + failurePause;
+        // It is tried again with fewer failures to spare.
+        state.failureShare = failureShareLimit / 2;
+    }
+}
+
+void traffic_state::noteRequest(const std::string &service, time_point now)
+{
+    allowance(service).noteRequest(now);
+}
+
+bool traffic_state::mayRepeat(const std::string &service, repeat_reason reason, time_point now)
+{
+    return allowance(service).mayRepeat(reason, now);
+}
+
+void traffic_state::noteRepeat(const std::string &service, time_point now)
+{
+    allowance(service).noteRepeat(now);
+}
+
+bool traffic_state::noteLatency(const std::string &route, const std::string &model,
+                                version_side side, duration latency)
+{
+    const double seconds = std::chrono::duration<double>(latency).count();
+    const std::string key = route + ' ' + model;
+    const auto known = m_latencies.find(key);
+    if (side == version_side::established) {
+        if (known == m_latencies.end())
+            m_latencies[key] = seconds;
+        else
+            known->second += latencyWeight * (seconds - known->second);
+        return false;
+    }
+    return known != m_latencies.end() && seconds > slowRatio * known->second + slowSeconds;
+}
+
+std::size_t traffic_state::instanceCount(const std::string &service) const
+{
+    const auto found = m_view->instances.find(service);
+    return found == m_view->instances.end() ? 0 : found->second.size();
+}
+
+double traffic_state::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+std::vector<const instance *> traffic_state::eligible(const placement_request &request,
+                                                      version_side side, const std::string &target,
+                                                      bool anyVersion, time_point now)
+{
+    std::vector<const instance *> usable;
+    const auto found = m_view->instances.find(request.service);
+    if (found == m_view->instances.end())
+        return usable;
+    for (const instance &entry : found->second) {
+        const bool candidate = entry.version == target;
+        if (!entry.draining && (anyVersion || candidate == (side == version_side::candidate)))
+            usable.push_back(&entry);
+    }
+    const auto without = [&](const auto &isLeftOut, double minPart) {
+        std::vector<const instance *> rest;
+        std::copy_if(usable.begin(), usable.end(), std::back_inserter(rest),
+                     [&](const instance *entry) { return !isLeftOut(*entry); });
+        if (!rest.empty()
+            && static_cast<double>(rest.size()) >= minPart * static_cast<double>(usable.size()))
+            usable = std::move(rest);
+    };
+    without(
+        [&](const instance &entry) {
+            const auto state = m_instances.find(entry.incarnation());
+            return state != m_instances.end() && now < state->second.ejectedUntil;
+        },
+        minInUse);
+    without([&](const instance &entry) { return request.tried.count(entry.incarnation()) > 0; }, 0);
+    return usable;
+}
+
+version_side traffic_state::chooseVersion(const placement_request &request,
+                                          const service_rollout &rollout, time_point now)
+{
+    const rollout_stage stage
+        = rollout.judgedBad ? rollout_stage::rolledBack : rollout.record.stage;
+    session_history history;
+    const auto session = m_sessions.find(request.service + ' ' + request.sessionKey);
+    if (session != m_sessions.end() && now - session->second.at < m_settings.sessionTime)
+        history.last = session->second.side;
+    const bool heard = now - m_confirmedAt < maxSilence;
+    const auto meter = m_meters.find(request.service);
+    const bool within = meter == m_meters.end() || meter->second.first != rollout.order.revision
+        || meter->second.second.mayExpose();
+    const bool mayExpose
+        = heard && !request.avoidCandidate && (stage != rollout_stage::canary || within);
+    rollout_parameters parameters;
+    parameters.exposureShare = m_settings.exposureShare;
+    const double share = sessionShare(stage, rollout.elapsedPart(now), parameters);
+    const std::string key = request.service + ' ' + rollout.order.target + ' ' + request.sessionKey;
+    return chooseSide(stage, share, positionOf(key), history, mayExpose);
+}
+
+retry_allowance &traffic_state::allowance(const std::string &service)
+{
+    const auto found = m_allowances.find(service);
+    if (found != m_allowances.end())
+        return found->second;
+    retry_parameters parameters;
+    parameters.ratio = m_settings.retryRatio;
+    parameters.slack = m_settings.retrySlack;
+    parameters.window = m_settings.retryWindow;
+    return m_allowances.emplace(service, retry_allowance(parameters)).first->second;
+}
+
+void traffic_state::expire(time_point now)
+{
+    if (now - m_expiredAt < sweepInterval)
+        return;
+    m_expiredAt = now;
+    m_prompts.expire(now);
+    for (auto i = m_sessions.begin(); i != m_sessions.end();)
+        i = now - i->second.at > 2 * m_settings.sessionTime ? m_sessions.erase(i) : std::next(i);
+    std::set<std::string> known;
+    for (const auto &service : m_view->instances) {
+        for (const instance &entry : service.second)
+            known.insert(entry.incarnation());
+    }
+    for (auto i = m_instances.begin(); i != m_instances.end();)
+        i = i->second.inFlight == 0 && known.count(i->first) == 0 ? m_instances.erase(i)
+                                                                  : std::next(i);
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/traffic_state.h
@@ -0,0 +1,120 @@
+#ifndef GOLDCRESTDECK_TRAFFIC_STATE_H_
+#define GOLDCRESTDECK_TRAFFIC_STATE_H_
+
+/// \file
+/// What the traffic thread knows and decides: which instance gets a request, whether it may be sent
+/// once more, and how instances and versions have done lately.
+///
+/// No input or output: the forwarder asks, sends, and reports what came of it. One thread.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "goldcrestdeck/placement.h"
+#include "goldcrestdeck/retry_allowance.h"
+#include "goldcrestdeck/router_settings.h"
+#include "goldcrestdeck/routing_view.h"
+
+namespace goldcrestdeck {
+
+/// What a request asks of choose().
+struct placement_request {
+    std::string service;
+    std::string sessionKey; ///< Of its session, or its own id.
+    bool hasSession = false;
+    std::string model;
+    const std::vector<prompt_part> *prompt = nullptr;
+    double promptTokens = 0;
+    std::set<std::string>
+        tried; ///< Incarnations that have had it; used again only if no other is left.
+    bool avoidCandidate = false; ///< It has failed on the version that is being rolled out.
+};
+
+struct chosen_instance {
+    instance target;
+    version_side side = version_side::established;
+    bool inRollout = false;
+    double missingTokens = 0; ///< Of the prompt, that the instance should have to read.
+};
+
+enum class send_result {
+    answered,    ///< A whole answer that is no failure.
+    failed,      ///< A failure of the instance's own, or a broken or malformed answer.
+    refused,     ///< It has not run the request.
+    unreachable, ///< No connection.
+    abandoned    ///< The router or the client gave up.
+};
+
+class traffic_state
+{
+public:
+    traffic_state(const router_settings &settings, std::uint64_t seed);
+
+    void setSettings(const router_settings &settings);
+    void setView(std::shared_ptr<const routing_view> view);
+    const std::shared_ptr<const routing_view> &view() const { return m_view; }
+    /// When the newest call was sent whose answer confirmed the view.
+    void setConfirmed(time_point at) { m_confirmedAt = at; }
+    time_point confirmedAt() const { return m_confirmedAt; }
+
+    std::optional<chosen_instance> choose(const placement_request &request, time_point now);
+    void noteSent(const placement_request &request, const chosen_instance &chosen, time_point now);
+    /// The answer has begun.
+    void noteBegun(const chosen_instance &chosen);
+    void noteEnd(const chosen_instance &chosen, bool begun, send_result result, time_point now);
+
+    void noteRequest(const std::string &service, time_point now);
+    bool mayRepeat(const std::string &service, repeat_reason reason, time_point now);
+    void noteRepeat(const std::string &service, time_point now);
+
+    /// Compares the time to an answer's begin with the established version's.
+    /// \returns whether it is much slower.
+    bool noteLatency(const std::string &route, const std::string &model, version_side side,
+                     duration latency);
+
+    std::size_t instanceCount(const std::string &service) const;
+    double draw();
+
+private:
+    struct instance_state {
+        double inFlight = 0;
+        double unreadTokens = 0;
+        double failureShare = 0; ///< Smoothed.
+        double answers = 0;
+        int unreachable = 0; ///< In a row.
+        time_point refusedUntil;
+        time_point ejectedUntil;
+    };
+    struct session_entry {
+        version_side side = version_side::established;
+        time_point at;
+    };
+
+    std::vector<const instance *> eligible(const placement_request &request, version_side side,
+                                           const std::string &target, bool anyVersion,
+                                           time_point now);
+    version_side chooseVersion(const placement_request &request, const service_rollout &rollout,
+                               time_point now);
+    retry_allowance &allowance(const std::string &service);
+    void expire(time_point now);
+
+    router_settings m_settings;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const routing_view> m_view;
+    time_point m_confirmedAt;
+    std::map<std::string, instance_state> m_instances; ///< By incarnation.
+    std::map<std::string, retry_allowance> m_allowances;
+    std::map<std::string, session_entry> m_sessions; ///< By service and session.
+    std::map<std::string, std::pair<std::uint64_t, exposure_meter>> m_meters; ///< With the order.
+    std::map<std::string, double> m_latencies; ///< Seconds, by route and model.
+    prompt_memory m_prompts;
+    time_point m_expiredAt;
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_TRAFFIC_STATE_H_
--- /dev/null
+++ b/goldcrestdeck/version_rollout.cc
@@ -0,0 +1,247 @@
+// The verdict is a comparison of rates rather than a formal sequential test: the two costs are very
+// uneven. A good version rolled back is an annoyance, a bad one kept harms clients, so few failures
+// are enough if the other version does not have them as well.
+
+#include "goldcrestdeck/version_rollout.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "goldcrestdeck/json.h"
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Bad answers below which chance or one faulty instance explains them.
+constexpr double minBadAnswers = 4;
+/// Share of bad answers from which a version may be bad, over all routes and on one.
+constexpr double badShare = 0.12;
+constexpr double badRouteShare = 0.25;
+/// How many times the other version's share of bad answers it must have.
+constexpr double badRatio = 3;
+/// Answers that the prior on the other version's share is worth.
+constexpr double priorAnswers = 20;
+
+constexpr std::array<rollout_stage, 5> stages
+    = {rollout_stage::canary, rollout_stage::ramp, rollout_stage::full, rollout_stage::completed,
+       rollout_stage::rolledBack};
+
+bool isBad(const answer_tally &candidate, const answer_tally &other, double share)
+{
+    const double bad = candidate.failures + candidate.slow;
+    const double otherShare = (other.failures + other.slow) / (other.answers + priorAnswers);
+    return bad >= minBadAnswers && bad >= share * candidate.answers
+        && bad >= badRatio * otherShare * candidate.answers;
+}
+
+} // namespace
+
+bool operator==(const rollout_order &a, const rollout_order &b)
+{
+    return std::tie(a.service, a.target, a.duration, a.revision)
+        == std::tie(b.service, b.target, b.duration, b.revision);
+}
+
+const char *toString(rollout_stage stage)
+{
+    switch (stage) {
+    case rollout_stage::canary:
+        return "canary";
+    case rollout_stage::ramp:
+        return "ramp";
+    case rollout_stage::full:
+        return "full";
+    case rollout_stage::completed:
+        return "completed";
+    case rollout_stage::rolledBack:
+        break;
+    }
+    return "rolled_back";
+}
+
+bool operator==(const rollout_record &a, const rollout_record &b)
+{
+    return std::tie(a.orderRevision, a.target, a.stage, a.elapsed)
+        == std::tie(b.orderRevision, b.target, b.stage, b.elapsed);
+}
+
+std::string encodeRecord(const rollout_record &record)
+{
+    json_value document = json_value::object();
+    document.set("order", record.orderRevision);
+    document.set("target", record.target);
+    document.set("stage", toString(record.stage));
+    document.set("elapsed_ms", static_cast<std::uint64_t>(record.elapsed.count()));
+    return document.dump();
+}
+
+rollout_record decodeRecord(const std::string &text)
+{
+    const json_value document = json_value::parse(text);
+    rollout_record record;
+    record.orderRevision = document.integer("order");
+    record.target = document.string("target");
+    record.elapsed = std::chrono::milliseconds(document.integer("elapsed_ms"));
+    const std::string name = document.string("stage");
+    const auto found = std::find_if(stages.begin(), stages.end(),
+                                    [&](rollout_stage stage) { return name == toString(stage); });
+    if (found == stages.end())
+        throw json_error("unknown stage '" + name + "'");
+    record.stage = *found;
+    return record;
+}
+
+double sessionShare(rollout_stage stage, double elapsedPart, const rollout_parameters &parameters)
+{
+    const double canary = parameters.exposureShare * parameters.canaryPart;
+    switch (stage) {
+    case rollout_stage::canary:
+        return canary;
+    case rollout_stage::ramp: {
+        const double done
+            = (elapsedPart - parameters.rampFrom) / (parameters.fullFrom - parameters.rampFrom);
+        return std::clamp(canary + (1 - canary) * done, canary, 1.0);
+    }
+    case rollout_stage::full:
+    case rollout_stage::completed:
+        return 1;
+    case rollout_stage::rolledBack:
+        break;
+    }
+    return 0;
+}
+
+answer_tally operator+(const answer_tally &a, const answer_tally &b)
+{
+    return {a.answers + b.answers, a.failures + b.failures, a.slow + b.slow};
+}
+
+answer_tally version_tally::total() const
+{
+    answer_tally result;
+    for (const auto &entry : byRoute)
+        result = result + entry.second;
+    return result;
+}
+
+std::string encodeTally(const version_tally &tally)
+{
+    json_value document = json_value::array();
+    for (const auto &entry : tally.byRoute) {
+        json_value row = json_value::object();
+        row.set("route", entry.first);
+        row.set("answers", entry.second.answers);
+        row.set("failures", entry.second.failures);
+        row.set("slow", entry.second.slow);
+        document.append(row);
+    }
+    return document.dump();
+}
+
+version_tally decodeTally(const std::string &text)
+{
+    const json_value document = json_value::parse(text);
+    version_tally tally;
+    for (std::size_t i = 0; i < document.size(); ++i) {
+        const json_value row = document.at(i);
+        tally.byRoute[row.string("route")]
+            = {row.number("answers"), row.number("failures"), row.number("slow")};
+    }
+    return tally;
+}
+
+version_tally sum(const std::vector<version_tally> &tallies)
+{
+    version_tally result;
+    for (const version_tally &tally : tallies) {
+        for (const auto &entry : tally.byRoute)
+            result.byRoute[entry.first] = result.byRoute[entry.first] + entry.second;
+    }
+    return result;
+}
+
+bool isBadVersion(const version_tally &candidate, const version_tally &other)
+{
+    if (isBad(candidate.total(), other.total(), badShare))
+        return true;
+    return std::any_of(candidate.byRoute.begin(), candidate.byRoute.end(), [&](const auto &entry) {
+        const auto found = other.byRoute.find(entry.first);
+        return isBad(entry.second, found == other.byRoute.end() ? answer_tally{} : found->second,
+                     badRouteShare);
+    });
+}
+
+std::optional<rollout_record> nextRecord(const rollout_record &current, const rollout_order &order,
+                                         std::chrono::milliseconds seenFor, bool bad,
+                                         double answers, std::size_t newInstances,
+                                         const rollout_parameters &parameters)
+{
+    if (current.stage == rollout_stage::completed || current.stage == rollout_stage::rolledBack)
+        return std::nullopt;
+    rollout_record next = current;
+    next.elapsed = current.elapsed + seenFor;
+    if (bad) {
+        next.stage = rollout_stage::rolledBack;
+        return next;
+    }
+    const double part = static_cast<double>(next.elapsed.count())
+        / std::max<double>(1, static_cast<double>(order.duration.count()));
+    if (newInstances == 0)
+        return std::nullopt;
+    if (current.stage == rollout_stage::canary && part >= parameters.rampFrom
+        && answers >= parameters.minAnswers)
+        next.stage = rollout_stage::ramp;
+    else if (current.stage == rollout_stage::ramp && part >= parameters.fullFrom)
+        next.stage = rollout_stage::full;
+    else if (current.stage == rollout_stage::full && part >= parameters.completeFrom)
+        next.stage = rollout_stage::completed;
+    else
+        return std::nullopt;
+    return next;
+}
+
+version_side chooseSide(rollout_stage stage, double share, double position,
+                        const session_history &history, bool mayExpose)
+{
+    switch (stage) {
+    case rollout_stage::canary:
+        if (!mayExpose)
+            return version_side::established;
+        if (history.last)
+            return *history.last;
+        return position < share ? version_side::candidate : version_side::established;
+    case rollout_stage::ramp:
+        if (!mayExpose)
+            return history.last.value_or(version_side::established);
+        if (history.last == version_side::candidate)
+            return version_side::candidate;
+        return position < share ? version_side::candidate : version_side::established;
+    case rollout_stage::full:
+    case rollout_stage::completed:
+        return version_side::candidate;
+    case rollout_stage::rolledBack:
+        break;
+    }
+    return version_side::established;
+}
+
+exposure_meter::exposure_meter(const rollout_parameters &parameters)
+    : m_parameters(parameters)
+{ }
+
+void exposure_meter::noteSent(version_side side)
+{
+    m_all += 1;
+    m_candidate += side == version_side::candidate ? 1 : 0;
+}
+
+bool exposure_meter::mayExpose() const
+{
+    const double slack
+        = m_parameters.exposureSlack * m_parameters.slackPart / std::max(1U, m_parameters.hosts);
+    return m_candidate + 1 <= m_parameters.exposureShare * 0.9 * m_all + slack;
+}
+
+} // namespace goldcrestdeck
