A stopping host refuses what it cannot finish

Change: drain_policy: after the balancer's lag a request is taken only if its patience ends before the process does; else 503, not run, come back at once (to another host). Ruled out: closing the listening socket after the lag (a client without another host would get nothing).

--- /dev/null
+++ b/goldcrestdeck/drain_policy.cc
@@ -0,0 +1,11 @@
+#include "goldcrestdeck/drain_policy.h"
+
+namespace goldcrestdeck {
+
+bool acceptsWhileDraining(const drain_times &times, duration patience, time_point now)
+{
+    return now < times.started + times.balancerLag
+        || now + patience <= times.started + times.stopTime;
+}
+
+} // namespace goldcrestdeck
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds freshTime{200};
 /// For a client to come back when this host does not know the configuration yet.
 constexpr std::chrono::milliseconds unreadyRetryAfter{1000};
+/// For a client to come back, to another host, when this one is stopping.
+constexpr std::chrono::milliseconds stoppingRetryAfter{50};
 /// For a client to come back when no instance could take its request; spread by half either way.
 constexpr std::chrono::milliseconds busyRetryAfter{600};
 /// Instances asked in turn while all of them turn a request away or cannot be reached.
@@ -79,9 +81,10 @@
 class forwarder::job : public std::enable_shared_from_this<forwarder::job>
 {
 public:
-    job(forwarder_parts &parts, client_request request, std::shared_ptr<http_answer> answer,
-        std::shared_ptr<std::set<std::shared_ptr<job>>> jobs)
+    job(forwarder_parts &parts, const std::optional<drain_times> &drain, client_request request,
+        std::shared_ptr<http_answer> answer, std::shared_ptr<std::set<std::shared_ptr<job>>> jobs)
         : m_parts(parts)
+        , m_drain(drain)
         , m_state(parts.state)
         , m_request(std::move(request))
         , m_answer(std::move(answer))
@@ -143,6 +146,10 @@
         const auto timeout = m_request.patience ? std::min(*m_request.patience, m_route->timeout)
                                                 : m_route->timeout;
         m_deadline = m_started + timeout;
+        if (m_drain && !acceptsWhileDraining(*m_drain, timeout, now())) {
+            refuse(http::status::service_unavailable, "stopping", stoppingRetryAfter);
+            return;
+        }
         m_service = chooseService(*m_route, m_state.draw());
         m_state.noteRequest(m_service, now());
         if (!m_request.choosesModel && m_route->models.empty()) {
@@ -591,6 +598,7 @@
     }
 
     forwarder_parts &m_parts;
+    const std::optional<drain_times> &m_drain;
     traffic_state &m_state;
     client_request m_request;
     std::shared_ptr<http_answer> m_answer;
@@ -641,8 +649,8 @@
 {
     try {
         client_request decoded = m_parts.wire.decodeRequest(std::move(request));
-        const auto added
-            = std::make_shared<job>(m_parts, std::move(decoded), std::move(answer), m_jobs);
+        const auto added = std::make_shared<job>(m_parts, m_drain, std::move(decoded),
+                                                 std::move(answer), m_jobs);
         added->start();
     } catch (const request_error &error) {
         logEvent(log_level::info, "request_malformed", {{"error", error.what()}});
@@ -652,6 +660,11 @@
     }
 }
 
+void forwarder::beginDrain(const drain_times &times)
+{
+    m_drain = times;
+}
+
 std::size_t forwarder::inProgress() const
 {
     return m_jobs->size();
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -11,9 +11,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "goldcrestdeck/async_client.h"
+#include "goldcrestdeck/drain_policy.h"
 #include "goldcrestdeck/router_metrics.h"
 #include "goldcrestdeck/store_follower.h"
 #include "goldcrestdeck/traffic_state.h"
@@ -44,12 +46,15 @@
     forwarder &operator=(const forwarder &) = delete;
 
     void handle(http_request request, std::shared_ptr<http_answer> answer);
+    /// The process is to stop: from now on, only what can still be served is taken.
+    void beginDrain(const drain_times &times);
     std::size_t inProgress() const;
 
 private:
     class job;
 
     forwarder_parts m_parts;
+    std::optional<drain_times> m_drain;
     std::shared_ptr<std::set<std::shared_ptr<job>>> m_jobs;
 };
 
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -37,8 +37,6 @@
 
 /// How often a settings file that changed without a signal is noticed.
 constexpr std::chrono::milliseconds settingsPoll{2000};
-/// New connections still come for two missed readiness probes, one a second, and a little longer.
-constexpr std::chrono::milliseconds balancerLag{3000};
 constexpr std::chrono::milliseconds drainPoll{100};
 /// Kept free before the process would be killed.
 constexpr std::chrono::milliseconds stopReserve{400};
@@ -201,7 +199,9 @@
         m_draining = true;
         logEvent(log_level::info, "stopping", {});
         asio::post(m_traffic, [this] {
-            m_drainStarted = m_clock.now();
+            m_drainTimes.started = m_clock.now();
+            m_drainTimes.stopTime = m_settings.stopTime - stopReserve;
+            m_forwarder.beginDrain(m_drainTimes);
             m_clients.closeAfterAnswers();
             pollDrain();
         });
@@ -209,15 +209,15 @@
 
     void pollDrain()
     {
-        const duration passed = m_clock.now() - m_drainStarted;
-        if (passed >= balancerLag) {
+        const duration passed = m_clock.now() - m_drainTimes.started;
+        if (passed >= m_drainTimes.balancerLag) {
             m_clients.closeIdle();
             if (m_forwarder.inProgress() == 0 && m_clients.openConnections() == 0) {
                 finish("idle");
                 return;
             }
         }
-        if (passed >= m_settings.stopTime - stopReserve) {
+        if (passed >= m_drainTimes.stopTime) {
             finish("out_of_time");
             return;
         }
@@ -275,7 +275,7 @@
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_gaugeTimer;
     bool m_draining = false; ///< On the control thread.
-    time_point m_drainStarted;
+    drain_times m_drainTimes;
 };
 
 int run(int argc, char **argv)
