Sessions count from the end of their last answer

The session's time was that of the send, so one with a long answer was forgotten while it was still being answered. Change: traffic_state keeps a session while a request of it is under way and sessionTime after its end. Test first: session_whose_long_answer_ended_lately_stays_on_its_version.

--- /dev/null
+++ b/goldcrestdeck/testing/traffic_state_test.cc
@@ -0,0 +1,187 @@
+#include "goldcrestdeck/traffic_state.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace goldcrestdeck {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A service "engine" with instances of two versions, and a roll-out from v1 to v2.
+class traffic_state_fixture : public ::testing::Test
+{
+protected:
+    traffic_state_fixture()
+        : m_state(settings(), 1)
+    {
+        show(rollout_stage::canary);
+    }
+
+    static router_settings settings()
+    {
+        router_settings result;
+        result.failureDomain = "a";
+        result.sessionTime = seconds(5);
+        return result;
+    }
+
+    static instance makeInstance(const std::string &id, const std::string &version)
+    {
+        instance result;
+        result.id = id;
+        result.service = "engine";
+        result.address = "10.0.0.1:80";
+        result.failureDomain = "a";
+        result.version = version;
+        result.slots = 4;
+        return result;
+    }
+
+    void show(rollout_stage stage, bool inRollout = true)
+    {
+        auto view = std::make_shared<routing_view>();
+        view->config = std::make_shared<routing_config>(routing_parts());
+        for (const char *id : {"old-1", "old-2", "old-3"})
+            view->instances["engine"].push_back(makeInstance(id, "v1"));
+        for (const char *id : {"new-1", "new-2", "new-3"})
+            view->instances["engine"].push_back(makeInstance(id, "v2"));
+        if (inRollout) {
+            service_rollout rollout;
+            rollout.order = {"engine", "v2", seconds(24), 7};
+            rollout.record = {7, "v2", stage, milliseconds(0)};
+            rollout.seenAt = m_time.now();
+            view->rollouts["engine"] = rollout;
+        }
+        m_state.setView(view);
+        m_state.setConfirmed(m_time.now());
+    }
+
+    static placement_request requestOf(const std::string &session)
+    {
+        placement_request request;
+        request.service = "engine";
+        request.sessionKey = session;
+        request.hasSession = true;
+        return request;
+    }
+
+    /// A session that the canary would take if nothing were known of it.
+    std::string canarySession()
+    {
+        for (int i = 0;; ++i) {
+            const std::string session = "session-" + std::to_string(i);
+            const auto chosen = m_state.choose(requestOf(session), m_time.now());
+            if (chosen->side == version_side::candidate)
+                return session;
+        }
+    }
+
+    void advance(duration step)
+    {
+        m_time.advance(step);
+        m_state.setConfirmed(m_time.now());
+    }
+
+    manual_clock m_time;
+    traffic_state m_state;
+};
+
+TEST_F(traffic_state_fixture, session_whose_long_answer_ended_lately_stays_on_its_version)
+{
+    const std::string session = canarySession();
+    const placement_request request = requestOf(session);
+    // Its first request is sent before the roll-out, and its answer takes longer than the time
+    // after which a session has ended.
+    show(rollout_stage::canary, false);
+    chosen_instance first = *m_state.choose(request, m_time.now());
+    while (first.target.version != "v1")
+        first = *m_state.choose(request, m_time.now());
+    m_state.noteSent(request, first, m_time.now());
+    advance(seconds(7));
+    show(rollout_stage::canary);
+    EXPECT_EQ(version_side::established, m_state.choose(request, m_time.now())->side);
+    m_state.noteEnd(first, true, send_result::answered, m_time.now());
+    advance(seconds(4));
+    EXPECT_EQ(version_side::established, m_state.choose(request, m_time.now())->side);
+    advance(seconds(6));
+    EXPECT_EQ(version_side::candidate, m_state.choose(request, m_time.now())->side);
+}
+
+TEST_F(traffic_state_fixture, new_version_without_news_of_the_rollout_gets_nothing)
+{
+    const std::string session = canarySession();
+    m_time.advance(seconds(4));
+    EXPECT_EQ(version_side::established,
+              m_state.choose(requestOf(session), m_time.now())->side);
+}
+
+TEST_F(traffic_state_fixture, canary_share_of_requests_stays_within_the_bound_on_exposure)
+{
+    const double share = settings().exposureShare;
+    double candidate = 0;
+    for (int i = 1; i <= 4000; ++i) {
+        const placement_request request = requestOf("s" + std::to_string(i));
+        const chosen_instance chosen = *m_state.choose(request, m_time.now());
+        m_state.noteSent(request, chosen, m_time.now());
+        m_state.noteEnd(chosen, true, send_result::answered, m_time.now());
+        candidate += chosen.side == version_side::candidate ? 1 : 0;
+        ASSERT_LE(candidate, share * i + settings().exposureSlack);
+        advance(milliseconds(2));
+    }
+    EXPECT_GT(candidate, 100);
+}
+
+TEST_F(traffic_state_fixture, version_that_was_rolled_back_gets_nothing)
+{
+    show(rollout_stage::rolledBack);
+    for (int i = 0; i < 500; ++i)
+        EXPECT_EQ("v1",
+                  m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
+}
+
+TEST_F(traffic_state_fixture, version_in_full_stage_gets_everything)
+{
+    show(rollout_stage::full);
+    for (int i = 0; i < 500; ++i)
+        EXPECT_EQ("v2",
+                  m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
+}
+
+TEST_F(traffic_state_fixture, instance_that_failed_is_avoided_but_half_stay_in_use)
+{
+    show(rollout_stage::rolledBack);
+    for (int round = 0; round < 40; ++round) {
+        const placement_request request = requestOf("s" + std::to_string(round));
+        const chosen_instance chosen = *m_state.choose(request, m_time.now());
+        m_state.noteSent(request, chosen, m_time.now());
+        const bool bad = chosen.target.id == "old-1";
+        m_state.noteEnd(chosen, true, bad ? send_result::failed : send_result::answered,
+                        m_time.now());
+    }
+    int toBad = 0;
+    for (int round = 0; round < 40; ++round) {
+        const auto chosen = m_state.choose(requestOf("t" + std::to_string(round)), m_time.now());
+        toBad += chosen->target.id == "old-1" ? 1 : 0;
+    }
+    EXPECT_EQ(0, toBad);
+}
+
+TEST_F(traffic_state_fixture, request_that_was_tried_everywhere_is_still_placed)
+{
+    placement_request request = requestOf("s");
+    for (const char *id : {"old-1@0", "old-2@0", "old-3@0", "new-1@0", "new-2@0", "new-3@0"})
+        request.tried.insert(id);
+    EXPECT_TRUE(m_state.choose(request, m_time.now()));
+}
+
+TEST_F(traffic_state_fixture, service_without_instances_gives_none)
+{
+    placement_request request = requestOf("s");
+    request.service = "other";
+    EXPECT_FALSE(m_state.choose(request, m_time.now()));
+}
+
+} // namespace
+} // namespace goldcrestdeck
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -100,7 +100,9 @@
     const std::uint64_t affinity
         = prompt.size() > 1 ? sharedPromptHash(prompt, request.model) : m_random();
     const std::size_t best = place(options, affinity, placement_parameters());
-    return chosen_instance{*candidates[best], side, inRollout, options[best].missingTokens};
+    return chosen_instance{*candidates[best], side, inRollout, options[best].missingTokens,
+                           request.hasSession ? request.service + ' ' + request.sessionKey
+                                              : std::string()};
 }
 
 void traffic_state::noteSent(const placement_request &request, const chosen_instance &chosen,
@@ -112,8 +114,10 @@
     state.unreadTokens += chosen.missingTokens;
     if (request.prompt != nullptr)
         m_prompts.noteSent(*request.prompt, request.model, incarnation, now);
-    if (request.hasSession)
-        m_sessions[request.service + ' ' + request.sessionKey] = {chosen.side, now};
+    if (!chosen.session.empty()) {
+        session_entry &session = m_sessions[chosen.session];
+        session = {chosen.side, now, session.active + 1};
+    }
     const auto rollout = m_view->rollouts.find(request.service);
     if (rollout == m_view->rollouts.end())
         return;
@@ -141,6 +145,11 @@
 {
     if (!begun)
         noteBegun(chosen);
+    const auto session = m_sessions.find(chosen.session);
+    if (session != m_sessions.end()) {
+        session->second.at = now;
+        --session->second.active;
+    }
     instance_state &state = m_instances[chosen.target.incarnation()];
     state.inFlight = std::max(0.0, state.inFlight - 1);
     switch (result) {
@@ -250,7 +259,7 @@
         = rollout.judgedBad ? rollout_stage::rolledBack : rollout.record.stage;
     session_history history;
     const auto session = m_sessions.find(request.service + ' ' + request.sessionKey);
-    if (session != m_sessions.end() && now - session->second.at < m_settings.sessionTime)
+    if (session != m_sessions.end() && isRecent(session->second, now))
         history.last = session->second.side;
     const bool heard = now - m_confirmedAt < maxSilence;
     const auto meter = m_meters.find(request.service);
@@ -277,6 +286,11 @@
     return m_allowances.emplace(service, retry_allowance(parameters)).first->second;
 }
 
+bool traffic_state::isRecent(const session_entry &entry, time_point now) const
+{
+    return entry.active > 0 || now - entry.at < m_settings.sessionTime;
+}
+
 void traffic_state::expire(time_point now)
 {
     if (now - m_expiredAt < sweepInterval)
@@ -284,7 +298,7 @@
     m_expiredAt = now;
     m_prompts.expire(now);
     for (auto i = m_sessions.begin(); i != m_sessions.end();)
-        i = now - i->second.at > 2 * m_settings.sessionTime ? m_sessions.erase(i) : std::next(i);
+        i = isRecent(i->second, now) ? std::next(i) : m_sessions.erase(i);
     std::set<std::string> known;
     for (const auto &service : m_view->instances) {
         for (const instance &entry : service.second)
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -39,6 +39,7 @@
     version_side side = version_side::established;
     bool inRollout = false;
     double missingTokens = 0; ///< Of the prompt, that the instance should have to read.
+    std::string session; ///< Key of the session's history; empty if the request has none.
 };
 
 enum class send_result {
@@ -91,7 +92,8 @@
     };
     struct session_entry {
         version_side side = version_side::established;
-        time_point at;
+        time_point at;  ///< Of the last begin or end of a request.
+        int active = 0; ///< Requests under way.
     };
 
     std::vector<const instance *> eligible(const placement_request &request, version_side side,
@@ -100,6 +102,7 @@
     version_side chooseVersion(const placement_request &request, const service_rollout &rollout,
                                time_point now);
     retry_allowance &allowance(const std::string &service);
+    bool isRecent(const session_entry &entry, time_point now) const;
     void expire(time_point now);
 
     router_settings m_settings;
