Hosts tell each other which sessions the old version had

The trace (sessions are in the log now): 4 of 5 moves were sessions that another host had had on the old version just before the canary began; 287 of 345 sessions with several requests use several hosts. One was a session that the host's part of the exposure bound sent back. Change: the canary begins 1.8 s after the order; before that each host writes the sessions that it has on the old version and that the canary could take. The canary's share falls from 0.6 to 0.45 of the bound. Ruled out: a smaller share alone (moves are proportional to the final share, however it grows).

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -582,6 +582,7 @@
         m_parts.counters.answerSeconds(kind).Observe(std::chrono::duration<double>(time).count());
         logEvent(log_level::info, "request_done",
                  {{"request", m_request.id},
+                  {"session", m_request.session},
                   {"route", m_route != nullptr ? m_route->name : ""},
                   {"workspace", m_workspace != nullptr ? m_workspace->name : ""},
                   {"status", std::to_string(status)},
--- a/goldcrestdeck/routing_view.h
+++ b/goldcrestdeck/routing_view.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,11 @@
     rollout_record record;
     time_point seenAt;      ///< When this host first read the record.
     bool judgedBad = false; ///< By this host; the shared record may not say so yet.
+    /// Digests of sessions that some host had on the established version when it was ordered.
+    std::shared_ptr<const std::set<std::uint64_t>> establishedSessions;
 
-    /// Part of the order's duration that has passed.
-    double elapsedPart(time_point now) const;
+    /// Time since the order.
+    duration elapsed(time_point now) const { return record.elapsed + (now - seenAt); }
 };
 
 struct routing_view {
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
+#include <sstream>
 
 #include <boost/asio/io_context.hpp>
 
@@ -53,16 +55,10 @@
 
 } // namespace
 
-double service_rollout::elapsedPart(time_point now) const
-{
-    const auto elapsed = record.elapsed + (now - seenAt);
-    return static_cast<double>(elapsed.count())
-        / std::max<double>(1, static_cast<double>(duration(order.duration).count()));
-}
-
 store_follower::store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
                                store_layout layout, const router_settings &settings,
-                               view_listener onView, confirm_listener onConfirmed)
+                               view_listener onView, confirm_listener onConfirmed,
+                               session_source sessions)
     : m_io(io)
     , m_clock(time)
     , m_store(std::move(store))
@@ -70,6 +66,7 @@
     , m_settings(settings)
     , m_onView(std::move(onView))
     , m_onConfirmed(std::move(onConfirmed))
+    , m_sessions(std::move(sessions))
     , m_timer(io)
     , m_instances(rejoinTime)
 { }
@@ -344,6 +341,7 @@
         m_dirty = true;
     } else if (startsWith(key, m_layout.ownPrefix)) {
         m_remoteTallies.erase(key);
+        m_sessionLists.erase(key);
     }
 }
 
@@ -400,6 +398,16 @@
                                      decodeTally(document.get("routes").dump()), m_clock.now()};
         return;
     }
+    if (startsWith(item.key, sessionsPrefix())) {
+        const json_value document = json_value::parse(item.value);
+        session_list &list = m_sessionLists[item.key];
+        list = {document.integer("order"), {}};
+        const json_value digests = document.get("sessions");
+        for (std::size_t i = 0; i < digests.size(); ++i)
+            list.digests.push_back(std::strtoull(digests.at(i).asString().c_str(), nullptr, 16));
+        m_dirty = true;
+        return;
+    }
     const std::string prefix = recordKey("");
     if (!startsWith(item.key, prefix))
         return;
@@ -439,6 +447,7 @@
         const auto own = m_ownTallies.find(order.service);
         rollout.judgedBad = own != m_ownTallies.end() && own->second.orderRevision == order.revision
             && own->second.judgedBad;
+        rollout.establishedSessions = establishedSessions(order);
         view->rollouts[order.service] = rollout;
     }
     m_onView(view);
@@ -484,6 +493,8 @@
                   {"slow", text(seen.slow)}});
         publish();
     }
+    if (current.record.stage == rollout_stage::canary)
+        tellSessions(order, own, current.record.elapsed + (now - current.seenAt));
     const auto seenFor
         = std::chrono::duration_cast<std::chrono::milliseconds>(now - current.seenAt);
     const auto next = nextRecord(current.record, order, seenFor, own.judgedBad,
@@ -540,6 +551,53 @@
     });
 }
 
+void store_follower::tellSessions(const rollout_order &order, own_tally &own, duration elapsed)
+{
+    const rollout_parameters limits = parameters();
+    const bool due = (own.sessionLists == 0 && elapsed >= limits.sessionsAfter)
+        || (own.sessionLists == 1 && elapsed >= limits.canaryDelay);
+    if (!due)
+        return;
+    ++own.sessionLists;
+    m_sessions(order, [this, order](const std::vector<std::uint64_t> &digests) {
+        if (!m_stopped && !digests.empty())
+            publishSessions(order, digests);
+    });
+}
+
+void store_follower::publishSessions(const rollout_order &order,
+                                     const std::vector<std::uint64_t> &digests)
+{
+    json_value list = json_value::array();
+    for (const std::uint64_t digest : digests) {
+        std::ostringstream text;
+        text << std::hex << digest;
+        list.append(json_value(text.str()));
+    }
+    json_value document = json_value::object();
+    document.set("order", order.revision);
+    document.set("sessions", list);
+    kv_transaction transaction;
+    transaction.writes.push_back(
+        {sessionsPrefix() + order.service + '/' + m_settings.name, document.dump(), 0});
+    m_store.transact(transaction, [service = order.service](const kv_transaction_result &result) {
+        logEvent(log_level::info, "sessions_told",
+                 {{"service", service}, {"outcome", toString(result.outcome)}});
+    });
+}
+
+std::shared_ptr<const std::set<std::uint64_t>>
+store_follower::establishedSessions(const rollout_order &order) const
+{
+    auto digests = std::make_shared<std::set<std::uint64_t>>();
+    const std::string prefix = sessionsPrefix() + order.service + '/';
+    for (const auto &item : m_sessionLists) {
+        if (startsWith(item.first, prefix) && item.second.orderRevision == order.revision)
+            digests->insert(item.second.digests.begin(), item.second.digests.end());
+    }
+    return digests;
+}
+
 store_follower::own_tally &store_follower::tallyFor(const rollout_order &order)
 {
     own_tally &own = m_ownTallies[order.service];
@@ -585,6 +643,11 @@
     return m_layout.ownPrefix + "tally/";
 }
 
+std::string store_follower::sessionsPrefix() const
+{
+    return m_layout.ownPrefix + "sessions/";
+}
+
 rollout_parameters store_follower::parameters() const
 {
     rollout_parameters result;
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -51,9 +51,13 @@
     /// Called with the time at which the newest confirming call was sent.
     using confirm_listener = std::function<void(time_point)>;
 
+    /// Asks the traffic thread for the digests of traffic_state::establishedSessions.
+    using session_source = std::function<void(const rollout_order &,
+                                              std::function<void(std::vector<std::uint64_t>)>)>;
+
     store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
                    store_layout layout, const router_settings &settings, view_listener onView,
-                   confirm_listener onConfirmed);
+                   confirm_listener onConfirmed, session_source sessions);
 
     void start();
     void stop();
@@ -87,6 +91,11 @@
         time_point publishedAt;
         bool judgedBad = false;
         bool writing = false;
+        int sessionLists = 0; ///< How often this host has told its sessions.
+    };
+    struct session_list {
+        std::uint64_t orderRevision = 0;
+        std::vector<std::uint64_t> digests;
     };
     struct range_read {
         std::vector<std::string> prefixes;
@@ -120,11 +129,16 @@
     void writeRecord(const rollout_order &order, std::uint64_t expected,
                      const rollout_record &record, const char *reason);
     void publishTally(const rollout_order &order, own_tally &tally);
+    void tellSessions(const rollout_order &order, own_tally &own, duration elapsed);
+    void publishSessions(const rollout_order &order, const std::vector<std::uint64_t> &digests);
+    std::shared_ptr<const std::set<std::uint64_t>>
+    establishedSessions(const rollout_order &order) const;
     own_tally &tallyFor(const rollout_order &order);
     version_tally knownTally(const rollout_order &order, const own_tally &own) const;
     std::size_t instancesOf(const rollout_order &order) const;
     std::string recordKey(const std::string &service) const;
     std::string tallyPrefix() const;
+    std::string sessionsPrefix() const;
     rollout_parameters parameters() const;
 
     boost::asio::io_context &m_io;
@@ -134,6 +148,7 @@
     router_settings m_settings;
     view_listener m_onView;
     confirm_listener m_onConfirmed;
+    session_source m_sessions;
 
     boost::asio::steady_timer m_timer;
     bool m_stopped = false;
@@ -153,6 +168,7 @@
     std::map<std::string, known_record> m_records;
     std::map<std::string, remote_tally> m_remoteTallies; ///< By key.
     std::map<std::string, own_tally> m_ownTallies;       ///< By service.
+    std::map<std::string, session_list> m_sessionLists;  ///< By key.
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/traffic_state_test.cc
+++ b/goldcrestdeck/testing/traffic_state_test.cc
@@ -51,7 +51,8 @@
             service_rollout rollout;
             rollout.order = {"engine", "v2", seconds(24), 7};
             rollout.record = {7, "v2", stage, milliseconds(0)};
-            rollout.seenAt = m_time.now();
+            rollout.seenAt = m_time.now() - seconds(2);
+            rollout.establishedSessions = std::make_shared<std::set<std::uint64_t>>(m_established);
             view->rollouts["engine"] = rollout;
         }
         m_state.setView(view);
@@ -86,8 +87,42 @@
 
     manual_clock m_time;
     traffic_state m_state;
+    std::set<std::uint64_t> m_established; ///< As told by other hosts.
 };
 
+TEST_F(traffic_state_fixture, session_that_another_host_had_on_the_old_version_stays_there)
+{
+    const std::string session = canarySession();
+    m_established.insert(sessionDigest("engine", session));
+    show(rollout_stage::canary);
+    EXPECT_EQ(version_side::established, m_state.choose(requestOf(session), m_time.now())->side);
+    show(rollout_stage::ramp);
+    advance(seconds(14));
+    EXPECT_EQ(version_side::candidate, m_state.choose(requestOf(session), m_time.now())->side);
+}
+
+TEST_F(traffic_state_fixture, sessions_told_to_other_hosts_are_those_a_canary_could_take)
+{
+    const rollout_order order{"engine", "v2", seconds(24), 7};
+    show(rollout_stage::canary, false);
+    std::set<std::uint64_t> expected;
+    for (int i = 0; i < 300; ++i) {
+        const placement_request request = requestOf("s" + std::to_string(i));
+        const chosen_instance chosen = *m_state.choose(request, m_time.now());
+        m_state.noteSent(request, chosen, m_time.now());
+        m_state.noteEnd(chosen, true, send_result::answered, m_time.now());
+        rollout_parameters parameters;
+        if (sessionPosition("engine", "v2", request.sessionKey)
+            < settings().exposureShare * parameters.canaryPart)
+            expected.insert(sessionDigest("engine", request.sessionKey));
+    }
+    const auto told = m_state.establishedSessions(order, m_time.now());
+    EXPECT_EQ(expected, std::set<std::uint64_t>(told.begin(), told.end()));
+    EXPECT_FALSE(expected.empty());
+    advance(seconds(6));
+    EXPECT_TRUE(m_state.establishedSessions(order, m_time.now()).empty());
+}
+
 TEST_F(traffic_state_fixture, session_whose_long_answer_ended_lately_stays_on_its_version)
 {
     const std::string session = canarySession();
@@ -113,8 +148,7 @@
 {
     const std::string session = canarySession();
     m_time.advance(seconds(4));
-    EXPECT_EQ(version_side::established,
-              m_state.choose(requestOf(session), m_time.now())->side);
+    EXPECT_EQ(version_side::established, m_state.choose(requestOf(session), m_time.now())->side);
 }
 
 TEST_F(traffic_state_fixture, canary_share_of_requests_stays_within_the_bound_on_exposure)
@@ -137,16 +171,14 @@
 {
     show(rollout_stage::rolledBack);
     for (int i = 0; i < 500; ++i)
-        EXPECT_EQ("v1",
-                  m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
+        EXPECT_EQ("v1", m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
 }
 
 TEST_F(traffic_state_fixture, version_in_full_stage_gets_everything)
 {
     show(rollout_stage::full);
     for (int i = 0; i < 500; ++i)
-        EXPECT_EQ("v2",
-                  m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
+        EXPECT_EQ("v2", m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
 }
 
 TEST_F(traffic_state_fixture, instance_that_failed_is_avoided_but_half_stay_in_use)
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -32,12 +32,6 @@
 constexpr double slowSeconds = 0.25;
 constexpr double latencyWeight = 0.1;
 
-double positionOf(const std::string &key)
-{
-    return static_cast<double>(rendezvousRank(0, key))
-        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 } // namespace
 
 traffic_state::traffic_state(const router_settings &settings, std::uint64_t seed)
@@ -101,8 +95,7 @@
         = prompt.size() > 1 ? sharedPromptHash(prompt, request.model) : m_random();
     const std::size_t best = place(options, affinity, placement_parameters());
     return chosen_instance{*candidates[best], side, inRollout, options[best].missingTokens,
-                           request.hasSession ? request.service + ' ' + request.sessionKey
-                                              : std::string()};
+                           request.hasSession ? request.sessionKey : std::string()};
 }
 
 void traffic_state::noteSent(const placement_request &request, const chosen_instance &chosen,
@@ -115,7 +108,7 @@
     if (request.prompt != nullptr)
         m_prompts.noteSent(*request.prompt, request.model, incarnation, now);
     if (!chosen.session.empty()) {
-        session_entry &session = m_sessions[chosen.session];
+        session_entry &session = m_sessions[{request.service, chosen.session}];
         session = {chosen.side, now, session.active + 1};
     }
     const auto rollout = m_view->rollouts.find(request.service);
@@ -145,7 +138,7 @@
 {
     if (!begun)
         noteBegun(chosen);
-    const auto session = m_sessions.find(chosen.session);
+    const auto session = m_sessions.find({chosen.target.service, chosen.session});
     if (session != m_sessions.end()) {
         session->second.at = now;
         --session->second.active;
@@ -210,6 +203,21 @@
     return known != m_latencies.end() && seconds > slowRatio * known->second + slowSeconds;
 }
 
+std::vector<std::uint64_t> traffic_state::establishedSessions(const rollout_order &order,
+                                                              time_point now) const
+{
+    rollout_parameters parameters;
+    const double share = m_settings.exposureShare * parameters.canaryPart;
+    std::vector<std::uint64_t> digests;
+    for (const auto &known : m_sessions) {
+        if (known.first.first == order.service && isRecent(known.second, now)
+            && known.second.side == version_side::established
+            && sessionPosition(order.service, order.target, known.first.second) < share)
+            digests.push_back(sessionDigest(order.service, known.first.second));
+    }
+    return digests;
+}
+
 std::size_t traffic_state::instanceCount(const std::string &service) const
 {
     const auto found = m_view->instances.find(service);
@@ -258,9 +266,12 @@
     const rollout_stage stage
         = rollout.judgedBad ? rollout_stage::rolledBack : rollout.record.stage;
     session_history history;
-    const auto session = m_sessions.find(request.service + ' ' + request.sessionKey);
+    const auto session = m_sessions.find({request.service, request.sessionKey});
     if (session != m_sessions.end() && isRecent(session->second, now))
         history.last = session->second.side;
+    history.wasEstablished = rollout.establishedSessions
+        && rollout.establishedSessions->count(sessionDigest(request.service, request.sessionKey))
+            > 0;
     const bool heard = now - m_confirmedAt < maxSilence;
     const auto meter = m_meters.find(request.service);
     const bool within = meter == m_meters.end() || meter->second.first != rollout.order.revision
@@ -269,9 +280,11 @@
         = heard && !request.avoidCandidate && (stage != rollout_stage::canary || within);
     rollout_parameters parameters;
     parameters.exposureShare = m_settings.exposureShare;
-    const double share = sessionShare(stage, rollout.elapsedPart(now), parameters);
-    const std::string key = request.service + ' ' + rollout.order.target + ' ' + request.sessionKey;
-    return chooseSide(stage, share, positionOf(key), history, mayExpose);
+    const double share
+        = sessionShare(stage, rollout.elapsed(now), rollout.order.duration, parameters);
+    const double position
+        = sessionPosition(request.service, rollout.order.target, request.sessionKey);
+    return chooseSide(stage, share, position, history, mayExpose);
 }
 
 retry_allowance &traffic_state::allowance(const std::string &service)
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -39,7 +39,7 @@
     version_side side = version_side::established;
     bool inRollout = false;
     double missingTokens = 0; ///< Of the prompt, that the instance should have to read.
-    std::string session; ///< Key of the session's history; empty if the request has none.
+    std::string session;      ///< Empty if the request has none.
 };
 
 enum class send_result {
@@ -77,6 +77,11 @@
     bool noteLatency(const std::string &route, const std::string &model, version_side side,
                      duration latency);
 
+    /// Digests of the sessions that a canary of \a order could take, and that this host has lately
+    /// had on the established version.
+    std::vector<std::uint64_t> establishedSessions(const rollout_order &order,
+                                                   time_point now) const;
+
     std::size_t instanceCount(const std::string &service) const;
     double draw();
 
@@ -95,6 +100,7 @@
         time_point at;  ///< Of the last begin or end of a request.
         int active = 0; ///< Requests under way.
     };
+    using session_key = std::pair<std::string, std::string>; ///< Service and session.
 
     std::vector<const instance *> eligible(const placement_request &request, version_side side,
                                            const std::string &target, bool anyVersion,
@@ -111,7 +117,7 @@
     time_point m_confirmedAt;
     std::map<std::string, instance_state> m_instances; ///< By incarnation.
     std::map<std::string, retry_allowance> m_allowances;
-    std::map<std::string, session_entry> m_sessions; ///< By service and session.
+    std::map<session_key, session_entry> m_sessions;
     std::map<std::string, std::pair<std::uint64_t, exposure_meter>> m_meters; ///< With the order.
     std::map<std::string, double> m_latencies; ///< Seconds, by route and model.
     prompt_memory m_prompts;
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <tuple>
 
+#include <xxhash.h>
+
 #include "goldcrestdeck/json.h"
 
 namespace goldcrestdeck {
@@ -93,15 +96,18 @@
     return record;
 }
 
-double sessionShare(rollout_stage stage, double elapsedPart, const rollout_parameters &parameters)
+double sessionShare(rollout_stage stage, duration elapsed, duration whole,
+                    const rollout_parameters &parameters)
 {
     const double canary = parameters.exposureShare * parameters.canaryPart;
+    const double part = static_cast<double>(elapsed.count())
+        / std::max<double>(1, static_cast<double>(whole.count()));
     switch (stage) {
     case rollout_stage::canary:
-        return canary;
+        return elapsed < parameters.canaryDelay ? 0 : canary;
     case rollout_stage::ramp: {
         const double done
-            = (elapsedPart - parameters.rampFrom) / (parameters.fullFrom - parameters.rampFrom);
+            = (part - parameters.rampFrom) / (parameters.fullFrom - parameters.rampFrom);
         return std::clamp(canary + (1 - canary) * done, canary, 1.0);
     }
     case rollout_stage::full:
@@ -113,6 +119,19 @@
     return 0;
 }
 
+double sessionPosition(const std::string &service, const std::string &target,
+                       const std::string &session)
+{
+    return static_cast<double>(sessionDigest(service + ' ' + target, session))
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+std::uint64_t sessionDigest(const std::string &service, const std::string &session)
+{
+    const std::string key = service + ' ' + session;
+    return XXH3_64bits(key.data(), key.size());
+}
+
 answer_tally operator+(const answer_tally &a, const answer_tally &b)
 {
     return {a.answers + b.answers, a.failures + b.failures, a.slow + b.slow};
@@ -207,11 +226,12 @@
 {
     switch (stage) {
     case rollout_stage::canary:
-        if (!mayExpose)
+        if (!mayExpose || share <= 0)
             return version_side::established;
         if (history.last)
             return *history.last;
-        return position < share ? version_side::candidate : version_side::established;
+        return !history.wasEstablished && position < share ? version_side::candidate
+                                                           : version_side::established;
     case rollout_stage::ramp:
         if (!mayExpose)
             return history.last.value_or(version_side::established);
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -58,9 +58,13 @@
     double exposureSlack = 30;
     /// The canary's share of the sessions, as a part of exposureShare; less than 1 because shares
     /// of sessions are not shares of requests.
-    double canaryPart = 0.6;
+    double canaryPart = 0.45;
+    /// The canary begins this long after the order. By then every host has told the others which
+    /// sessions it has lately had on the established version, at sessionsAfter and again then.
+    std::chrono::milliseconds canaryDelay{1800};
+    std::chrono::milliseconds sessionsAfter{1000};
     /// Part of exposureSlack that all hosts together may use, and the hosts it is divided among.
-    double slackPart = 0.5;
+    double slackPart = 0.8;
     unsigned hosts = 8;
     /// Parts of the duration at which the ramp begins, ends, and the order is completed. Sessions
     /// may not be moved in the first half.
@@ -71,8 +75,15 @@
     double minAnswers = 8;
 };
 
-/// Part of the sessions that a stage sends to the new version, at a part of the duration.
-double sessionShare(rollout_stage stage, double elapsedPart, const rollout_parameters &parameters);
+/// Part of the sessions that a stage sends to the new version, \a elapsed after the order.
+double sessionShare(rollout_stage stage, duration elapsed, duration whole,
+                    const rollout_parameters &parameters);
+
+/// A session's place in [0, 1) among those of a service, for one target; the same on all hosts.
+double sessionPosition(const std::string &service, const std::string &target,
+                       const std::string &session);
+/// A number for a session that says nothing of it, for telling other hosts.
+std::uint64_t sessionDigest(const std::string &service, const std::string &session);
 
 /// Answers of one version on one route, weighted by age.
 struct answer_tally {
@@ -110,7 +121,8 @@
 
 /// What a host knows of a session when its next request comes.
 struct session_history {
-    std::optional<version_side> last; ///< The side of its last request, if it is recent.
+    std::optional<version_side> last; ///< The side of its last request here, if it is recent.
+    bool wasEstablished = false;      ///< Some host had it on the established version at the order.
 };
 
 /// \a position is the session's place in [0, 1), the same on all hosts. \a mayExpose is false when
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -76,7 +76,10 @@
               platform::bindStore(m_storeClient, parseEndpoint(m_settings.storeAddress)),
               platform::storeLayout(), m_settings,
               [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
-              [this](time_point at) { onConfirmed(at); })
+              [this](time_point at) { onConfirmed(at); },
+              [this](const rollout_order &order, auto done) {
+                  askSessions(order, std::move(done));
+              })
         , m_clients(m_traffic, parseEndpoint(m_settings.clientAddress), client_limits(),
                     [this](http_request request, std::shared_ptr<http_answer> answer) {
                         m_forwarder.handle(std::move(request), std::move(answer));
@@ -145,6 +148,17 @@
         asio::post(m_traffic, [this, at] { m_state.setConfirmed(at); });
     }
 
+    void askSessions(const rollout_order &order,
+                     std::function<void(std::vector<std::uint64_t>)> done)
+    {
+        asio::post(m_traffic, [this, order, done = std::move(done)] {
+            asio::post(m_control,
+                       [done, digests = m_state.establishedSessions(order, m_clock.now())] {
+                           done(digests);
+                       });
+        });
+    }
+
     void answerReady(http_answer &answer)
     {
         const bool ready = m_follower.hasConfig() && !m_draining;
