Placement by weighed load; requests wait for the first configuration after a start

Change: (1) tokens and requests in flight are weighed by the model's cost; an instance's slowness beside others; the instance that ranks first for a shared prompt counts as holding half of it. (2) A request waits up to 500 ms for the first configuration. A verdict on a version that is already decided is not logged.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -24,6 +24,9 @@
 
 /// A view confirmed within this time is fresh enough to say that a route or key does not exist.
 constexpr std::chrono::milliseconds freshTime{200};
+/// How long a request waits for the first configuration after a start; reading it takes some tens
+/// of milliseconds while the key-value service answers.
+constexpr std::chrono::milliseconds startWait{500};
 /// For a client to come back when this host does not know the configuration yet.
 constexpr std::chrono::milliseconds unreadyRetryAfter{1000};
 /// For a client to come back, to another host, when this one is stopping.
@@ -101,6 +104,15 @@
         resolve(false);
     }
 
+    void noteView()
+    {
+        if (!m_awaitsConfig || m_finished || !m_state.view()->config)
+            return;
+        m_awaitsConfig = false;
+        m_timer.cancel();
+        resolve(false);
+    }
+
 private:
     enum class answer_mode { none, whole, events };
 
@@ -110,7 +122,7 @@
     {
         m_config = m_state.view() ? m_state.view()->config : nullptr;
         if (!m_config) {
-            refuse(http::status::service_unavailable, "no_configuration", unreadyRetryAfter);
+            awaitConfig();
             return;
         }
         const routing_config &config = *m_config;
@@ -141,6 +153,17 @@
         });
     }
 
+    void awaitConfig()
+    {
+        m_awaitsConfig = true;
+        m_timer.expires_after(startWait);
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error && !self->m_finished && self->m_awaitsConfig)
+                self->refuse(http::status::service_unavailable, "no_configuration",
+                             unreadyRetryAfter);
+        });
+    }
+
     void accept()
     {
         const auto timeout = m_request.patience ? std::min(*m_request.patience, m_route->timeout)
@@ -329,8 +352,8 @@
     void noteBegun()
     {
         m_begun = true;
-        m_state.noteBegun(m_chosen);
         const duration latency = now() - m_sentAt;
+        m_state.noteBegun(m_chosen, latency);
         m_slow = m_state.noteLatency(m_route->name, model(), m_chosen.side, latency);
         m_parts.counters.firstByteSeconds(toString(m_route->kind))
             .Observe(std::chrono::duration<double>(latency).count());
@@ -622,6 +645,7 @@
     unsigned m_runs = 0; ///< Sends that may have run.
     unsigned m_refusals = 0;
     bool m_finished = false;
+    bool m_awaitsConfig = false;
     bool m_sending = false;
     bool m_begun = false;
     bool m_slow = false;
@@ -661,6 +685,13 @@
     }
 }
 
+void forwarder::noteView()
+{
+    const auto jobs = *m_jobs;
+    for (const auto &waiting : jobs)
+        waiting->noteView();
+}
+
 void forwarder::beginDrain(const drain_times &times)
 {
     m_drain = times;
--- a/goldcrestdeck/placement.cc
+++ b/goldcrestdeck/placement.cc
@@ -24,8 +24,9 @@
 
 double placementCost(const placement_option &option, const placement_parameters &parameters)
 {
-    double cost = option.unreadTokens + option.missingTokens
-        + option.inFlight * parameters.tokensPerRequest;
+    double cost
+        = (option.unreadTokens + option.missingTokens + option.load * parameters.tokensPerRequest)
+        * option.slowness;
     // Beyond its slots an instance queues: the wait grows with the excess.
     if (option.inFlight >= option.slots)
         cost += (option.inFlight + 1 - option.slots) * parameters.tokensPerRequest * 10;
--- a/goldcrestdeck/placement.h
+++ b/goldcrestdeck/placement.h
@@ -23,10 +23,14 @@
 /// What is known of one instance when a request is to be placed.
 struct placement_option {
     std::string incarnation;
-    double inFlight = 0;      ///< Requests that this host has there.
-    double slots = 1;         ///< Requests that it works on at once.
-    double unreadTokens = 0;  ///< Of prompts that this host sent there and that have not begun.
-    double missingTokens = 0; ///< Of this prompt, that it should have to read.
+    double inFlight = 0; ///< Requests that this host has there.
+    double load = 0;     ///< The same, each weighed by its model's cost.
+    double slots = 1;    ///< Requests that it works on at once.
+    /// Of prompts that this host sent there and that have not begun, weighed by their models' cost.
+    double unreadTokens = 0;
+    /// Of this prompt, that it should have to read, weighed by its model's cost.
+    double missingTokens = 0;
+    double slowness = 1; ///< Time to begin lately, beside other instances' for like requests.
     bool sameDomain = false;
     bool refusedLately = false; ///< It turned a request away in the last moments.
 };
@@ -34,7 +38,6 @@
 struct placement_parameters {
     /// What a request in flight delays another by, in tokens that could be read meanwhile.
     double tokensPerRequest = 400;
-    /// What a request in flight at a plain service delays another by, as part of its own work.
     double otherDomainTokens = 300;
     /// Charge for a full instance, in tokens; above any difference in what is cached.
     double refusalTokens = 1e6;
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -474,6 +474,9 @@
         return;
     }
     const known_record &current = known->second;
+    if (current.record.stage == rollout_stage::completed
+        || current.record.stage == rollout_stage::rolledBack)
+        return;
     const time_point now = m_clock.now();
     const double age = std::chrono::duration<double>(now - own.decayedAt).count();
     const double factor = std::exp2(-age / std::chrono::duration<double>(tallyHalfLife).count());
@@ -481,7 +484,7 @@
     decay(own.candidate, factor);
     decay(own.established, factor);
     const bool bad = isBadVersion(knownTally(order, own), own.established);
-    if (bad && !own.judgedBad && current.record.stage != rollout_stage::completed) {
+    if (bad && !own.judgedBad) {
         own.judgedBad = true;
         m_dirty = true;
         const answer_tally seen = own.candidate.total();
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -31,6 +31,17 @@
 constexpr double slowRatio = 3;
 constexpr double slowSeconds = 0.25;
 constexpr double latencyWeight = 0.1;
+/// Time to an answer's begin without any token to read, in tokens.
+constexpr double baseTokens = 300;
+/// Weight of one answer in an instance's slowness, and its bounds.
+constexpr double slownessWeight = 0.2;
+constexpr double minSlowness = 0.5;
+constexpr double maxSlowness = 4;
+/// Part of an instance's slowness, beyond the usual, that is left after each sweep.
+constexpr double slownessDecay = 0.8;
+/// Part of a shared prompt that the instance which ranks first for it is taken to have cached
+/// through other hosts.
+constexpr double sharedElsewhere = 0.5;
 
 } // namespace
 
@@ -73,6 +84,19 @@
         return std::nullopt;
     static const std::vector<prompt_part> noPrompt;
     const std::vector<prompt_part> &prompt = request.prompt != nullptr ? *request.prompt : noPrompt;
+    const double weight = modelWeight(request.service, request.model);
+    // Without a prompt there is nothing to keep together: ties are broken at random.
+    const std::uint64_t affinity
+        = prompt.size() > 1 ? sharedPromptHash(prompt, request.model) : m_random();
+    double sharedTokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        sharedTokens += static_cast<double>(prompt[i].tokens);
+    std::size_t first = 0;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        if (rendezvousRank(affinity, candidates[i]->incarnation())
+            > rendezvousRank(affinity, candidates[first]->incarnation()))
+            first = i;
+    }
     std::vector<placement_option> options;
     options.reserve(candidates.size());
     for (const instance *candidate : candidates) {
@@ -83,19 +107,27 @@
         option.inFlight = state.inFlight;
         option.slots = candidate->slots;
         option.unreadTokens = state.unreadTokens;
-        option.missingTokens = std::max(
-            0.0,
-            request.promptTokens - m_prompts.cachedTokens(prompt, request.model, incarnation, now));
+        double cached = m_prompts.cachedTokens(prompt, request.model, incarnation, now);
+        if (candidate == candidates[first])
+            cached = std::max(cached, sharedElsewhere * sharedTokens);
+        option.missingTokens = weight * std::max(0.0, request.promptTokens - cached);
+        option.load = state.load;
+        option.slowness = state.slowness;
         option.sameDomain = candidate->failureDomain == m_settings.failureDomain;
         option.refusedLately = now < state.refusedUntil;
         options.push_back(std::move(option));
     }
-    // Without a prompt there is nothing to keep together: ties are broken at random.
-    const std::uint64_t affinity
-        = prompt.size() > 1 ? sharedPromptHash(prompt, request.model) : m_random();
     const std::size_t best = place(options, affinity, placement_parameters());
-    return chosen_instance{*candidates[best], side, inRollout, options[best].missingTokens,
-                           request.hasSession ? request.sessionKey : std::string()};
+    chosen_instance chosen;
+    chosen.target = *candidates[best];
+    chosen.side = side;
+    chosen.inRollout = inRollout;
+    chosen.model = request.model;
+    chosen.weight = weight;
+    chosen.missingTokens = options[best].missingTokens / weight;
+    if (request.hasSession)
+        chosen.session = request.sessionKey;
+    return chosen;
 }
 
 void traffic_state::noteSent(const placement_request &request, const chosen_instance &chosen,
@@ -104,7 +136,8 @@
     const std::string incarnation = chosen.target.incarnation();
     instance_state &state = m_instances[incarnation];
     state.inFlight += 1;
-    state.unreadTokens += chosen.missingTokens;
+    state.load += chosen.weight;
+    state.unreadTokens += chosen.weight * chosen.missingTokens;
     if (request.prompt != nullptr)
         m_prompts.noteSent(*request.prompt, request.model, incarnation, now);
     if (!chosen.session.empty()) {
@@ -127,17 +160,32 @@
     meter->second.second.noteSent(chosen.side);
 }
 
-void traffic_state::noteBegun(const chosen_instance &chosen)
+void traffic_state::noteBegun(const chosen_instance &chosen, duration latency)
 {
     instance_state &state = m_instances[chosen.target.incarnation()];
-    state.unreadTokens = std::max(0.0, state.unreadTokens - chosen.missingTokens);
+    state.unreadTokens = std::max(0.0, state.unreadTokens - chosen.weight * chosen.missingTokens);
+    const double seconds = std::chrono::duration<double>(latency).count();
+    const double perToken = seconds / (chosen.missingTokens + baseTokens);
+    const auto known
+        = m_secondsPerToken.emplace(chosen.target.service + ' ' + chosen.model, perToken).first;
+    const double ratio
+        = std::clamp(perToken / std::max(known->second, 1e-9), minSlowness, maxSlowness);
+    state.slowness += slownessWeight * (ratio - state.slowness);
+    known->second += latencyWeight * (perToken - known->second);
+}
+
+duration traffic_state::expectedLatency(const std::string &service, const std::string &model,
+                                        double missingTokens) const
+{
+    const auto known = m_secondsPerToken.find(service + ' ' + model);
+    const double perToken = known == m_secondsPerToken.end() ? 0 : known->second;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(perToken * (missingTokens + baseTokens)));
 }
 
 void traffic_state::noteEnd(const chosen_instance &chosen, bool begun, send_result result,
                             time_point now)
 {
-    if (!begun)
-        noteBegun(chosen);
     const auto session = m_sessions.find({chosen.target.service, chosen.session});
     if (session != m_sessions.end()) {
         session->second.at = now;
@@ -145,6 +193,10 @@
     }
     instance_state &state = m_instances[chosen.target.incarnation()];
     state.inFlight = std::max(0.0, state.inFlight - 1);
+    state.load = state.inFlight > 0 ? std::max(0.0, state.load - chosen.weight) : 0;
+    if (!begun)
+        state.unreadTokens
+            = std::max(0.0, state.unreadTokens - chosen.weight * chosen.missingTokens);
     switch (result) {
     case send_result::refused:
         state.refusedUntil = now + refusalPause;
@@ -287,6 +339,21 @@
     return chooseSide(stage, share, position, history, mayExpose);
 }
 
+double traffic_state::modelWeight(const std::string &service, const std::string &model) const
+{
+    const service_spec *spec = m_view->config ? m_view->config->service(service) : nullptr;
+    if (spec == nullptr)
+        return 1;
+    double own = 0;
+    double dearest = 0;
+    for (const model_cost &entry : spec->models) {
+        dearest = std::max(dearest, entry.costPerKiloToken);
+        if (entry.name == model)
+            own = entry.costPerKiloToken;
+    }
+    return own > 0 ? own / dearest : 1;
+}
+
 retry_allowance &traffic_state::allowance(const std::string &service)
 {
     const auto found = m_allowances.find(service);
@@ -312,6 +379,8 @@
     m_prompts.expire(now);
     for (auto i = m_sessions.begin(); i != m_sessions.end();)
         i = isRecent(i->second, now) ? std::next(i) : m_sessions.erase(i);
+    for (auto &entry : m_instances)
+        entry.second.slowness = 1 + slownessDecay * (entry.second.slowness - 1);
     std::set<std::string> known;
     for (const auto &service : m_view->instances) {
         for (const instance &entry : service.second)
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -38,6 +38,8 @@
     instance target;
     version_side side = version_side::established;
     bool inRollout = false;
+    std::string model;
+    double weight = 1;        ///< The model's cost beside that of the service's dearest.
     double missingTokens = 0; ///< Of the prompt, that the instance should have to read.
     std::string session;      ///< Empty if the request has none.
 };
@@ -64,8 +66,11 @@
 
     std::optional<chosen_instance> choose(const placement_request &request, time_point now);
     void noteSent(const placement_request &request, const chosen_instance &chosen, time_point now);
-    /// The answer has begun.
-    void noteBegun(const chosen_instance &chosen);
+    /// The answer has begun, \a latency after the send.
+    void noteBegun(const chosen_instance &chosen, duration latency);
+    /// Time in which an answer of \a model should begin, as far as such answers are known.
+    duration expectedLatency(const std::string &service, const std::string &model,
+                             double missingTokens) const;
     void noteEnd(const chosen_instance &chosen, bool begun, send_result result, time_point now);
 
     void noteRequest(const std::string &service, time_point now);
@@ -88,7 +93,9 @@
 private:
     struct instance_state {
         double inFlight = 0;
+        double load = 0;
         double unreadTokens = 0;
+        double slowness = 1;
         double failureShare = 0; ///< Smoothed.
         double answers = 0;
         int unreachable = 0; ///< In a row.
@@ -110,6 +117,8 @@
     retry_allowance &allowance(const std::string &service);
     bool isRecent(const session_entry &entry, time_point now) const;
     void expire(time_point now);
+    /// Cost of a model beside that of the service's dearest.
+    double modelWeight(const std::string &service, const std::string &model) const;
 
     router_settings m_settings;
     std::mt19937_64 m_random;
@@ -120,6 +129,8 @@
     std::map<session_key, session_entry> m_sessions;
     std::map<std::string, std::pair<std::uint64_t, exposure_meter>> m_meters; ///< With the order.
     std::map<std::string, double> m_latencies; ///< Seconds, by route and model.
+    std::map<std::string, double>
+        m_secondsPerToken; ///< To an answer's begin, by service and model.
     prompt_memory m_prompts;
     time_point m_expiredAt;
 };
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -138,7 +138,10 @@
         asio::post(m_traffic, [this, view = std::move(view)] {
             if (view->config)
                 m_clients.setLimits(view->config->limits());
+            const bool first = !m_state.view() || !m_state.view()->config;
             m_state.setView(view);
+            if (first && view->config)
+                m_forwarder.noteView();
         });
     }
 
