--- /dev/null
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -0,0 +1,254 @@
+#include "goldcrestdeck/testing/router_harness.h"
+
+#include <sstream>
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "goldcrestdeck/log.h"
+#include "platform/headers.h"
+
+namespace goldcrestdeck {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int readSeconds = 10;
+constexpr int eventuallyTries = 500;
+constexpr std::chrono::milliseconds eventuallyPause{10};
+
+asio::ip::tcp::endpoint anyPort()
+{
+    return {asio::ip::make_address("127.0.0.1"), 0};
+}
+
+std::string textOf(const asio::ip::tcp::endpoint &endpoint)
+{
+    std::ostringstream out;
+    out << endpoint;
+    return out.str();
+}
+
+route makeRoute(const std::string &prefix, request_kind kind, const std::string &service)
+{
+    route result;
+    result.name = prefix;
+    result.host = "a.example";
+    result.prefix = prefix;
+    result.kind = kind;
+    result.services = {{service, 1}};
+    result.timeout = std::chrono::seconds(3);
+    result.targetLatency = std::chrono::milliseconds(300);
+    result.maxAttempts = 3;
+    return result;
+}
+
+router_settings harnessSettings()
+{
+    router_settings result;
+    result.failureDomain = "a";
+    return result;
+}
+
+} // namespace
+
+byte_client::byte_client(const asio::ip::tcp::endpoint &server)
+    : m_socket(m_io)
+{
+    m_socket.connect(server);
+    timeval patience{readSeconds, 0};
+    setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+}
+
+void byte_client::send(const std::string &bytes)
+{
+    asio::write(m_socket, asio::buffer(bytes));
+}
+
+http_response byte_client::read()
+{
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    while (true) {
+        boost::system::error_code error;
+        const std::size_t used = parser.put(asio::buffer(m_buffer), error);
+        m_buffer.erase(0, used);
+        if (parser.is_done())
+            return parser.release();
+        if (error && error != http::error::need_more)
+            throw boost::system::system_error(error);
+        char chunk[4096];
+        const std::size_t count = m_socket.read_some(asio::buffer(chunk), error);
+        if (error == asio::error::eof && parser.is_header_done()) {
+            parser.put_eof(error);
+            if (!error && parser.is_done())
+                return parser.release();
+        }
+        if (error)
+            throw boost::system::system_error(error);
+        m_buffer.append(chunk, count);
+    }
+}
+
+bool byte_client::readsEnd()
+{
+    char byte = 0;
+    boost::system::error_code error;
+    const std::size_t count = m_socket.read_some(asio::buffer(&byte, 1), error);
+    return count == 0 && (error == asio::error::eof || error == asio::error::connection_reset);
+}
+
+void byte_client::close()
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+std::string requestText(const std::string &method, const std::string &path, const std::string &id,
+                        const std::string &fields, const std::string &body)
+{
+    std::string text = method + ' ' + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id
+        + "\r\nX-Credential: key-1\r\n" + fields;
+    if (!body.empty())
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + body;
+}
+
+router_fixture::router_fixture()
+    : m_client(m_io, m_clock)
+    , m_state(harnessSettings(), 1)
+    , m_work(asio::make_work_guard(m_io))
+{
+    initLog("test", log_level::error);
+    m_config.version = 1;
+    m_config.asksForKeys = true;
+    m_config.workspaces = {{"w1", {"key-1"}, std::nullopt}};
+    m_config.routes = {makeRoute("/safe/", request_kind::repeatable, "plain"),
+                       makeRoute("/once/", request_kind::once, "plain"),
+                       makeRoute("/stream/", request_kind::stream, "engine"),
+                       makeRoute("/closed/", request_kind::stream, "engine")};
+    m_config.routes[2].resumable = true;
+    m_config.routes[2].models = {"small", "large"};
+    service_spec engine;
+    engine.name = "engine";
+    engine.models = {{"small", 1}, {"large", 10}};
+    m_config.services = {engine};
+    forwarder_parts parts{m_io,
+                          m_clock,
+                          m_client,
+                          m_state,
+                          m_counters,
+                          platform::wireFormat(),
+                          [this](std::function<void(bool)> done) {
+                              ++m_confirmCalls;
+                              if (m_onConfirm)
+                                  m_onConfirm();
+                              asio::post(m_io,
+                                         [this, done = std::move(done)] { done(m_confirms); });
+                          },
+                          [](const rollout_answer &) {}};
+    m_forwarder = std::make_unique<forwarder>(std::move(parts));
+    m_server = std::make_unique<async_server>(
+        m_io, anyPort(), client_limits(),
+        [this](http_request request, std::shared_ptr<http_answer> answer) {
+            m_forwarder->handle(std::move(request), std::move(answer));
+        });
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+router_fixture::~router_fixture()
+{
+    onLoop([this] {
+        m_server->stop();
+        m_client.stop();
+        for (const auto &runner : m_runners)
+            runner->stop();
+    });
+    m_io.stop();
+    m_thread.join();
+}
+
+standins::platform_runner &router_fixture::addRunner(const std::string &service,
+                                                     const std::string &id,
+                                                     const std::string &version)
+{
+    return onLoop([&]() -> standins::platform_runner & {
+        m_runners.push_back(std::make_unique<standins::platform_runner>(m_io, anyPort(), id));
+        instance entry;
+        entry.id = id;
+        entry.service = service;
+        entry.address = textOf(m_runners.back()->address());
+        entry.failureDomain = "a";
+        entry.version = version;
+        entry.slots = 8;
+        m_instances[service].push_back(entry);
+        return *m_runners.back();
+    });
+}
+
+void router_fixture::publish()
+{
+    onLoop([this] {
+        auto view = std::make_shared<routing_view>();
+        view->config = std::make_shared<routing_config>(m_config);
+        view->instances = m_instances;
+        view->rollouts = m_rollouts;
+        m_state.setView(view);
+        m_state.setConfirmed(m_clock.now());
+        m_forwarder->noteView();
+    });
+}
+
+void router_fixture::setBehaviour(const standins::runner_behaviour &behaviour)
+{
+    onLoop([&] {
+        for (const auto &runner : m_runners)
+            runner->setBehaviour(behaviour);
+    });
+}
+
+http_response router_fixture::ask(const std::string &text)
+{
+    byte_client client(m_server->address());
+    client.send(text);
+    return client.read();
+}
+
+int router_fixture::runsOf(const std::string &requestId)
+{
+    return onLoop([&] {
+        int runs = 0;
+        for (const auto &runner : m_runners) {
+            const auto found = runner->runs().find(requestId);
+            runs += found == runner->runs().end() ? 0 : found->second;
+        }
+        return runs;
+    });
+}
+
+std::size_t router_fixture::requestsSeen()
+{
+    return onLoop([&] {
+        std::size_t seen = 0;
+        for (const auto &runner : m_runners)
+            seen += runner->requests().size();
+        return seen;
+    });
+}
+
+bool router_fixture::eventually(const std::function<bool()> &holds)
+{
+    for (int i = 0; i < eventuallyTries; ++i) {
+        if (onLoop(holds))
+            return true;
+        std::this_thread::sleep_for(eventuallyPause);
+    }
+    return false;
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/standins/platform_store.cc
@@ -0,0 +1,196 @@
+#include "standins/platform_store.h"
+
+#include <cstdlib>
+
+#include "goldcrestdeck/json.h"
+#include "platform/kv_binding.h"
+
+namespace standins {
+
+using goldcrestdeck::http_request;
+using goldcrestdeck::json_value;
+
+namespace {
+
+/// Items on one page.
+constexpr std::size_t pageItems = 50;
+
+std::string urlDecode(const std::string &text)
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            result += static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, 16));
+            i += 2;
+        } else {
+            result += text[i];
+        }
+    }
+    return result;
+}
+
+std::map<std::string, std::string> queryOf(const std::string &target)
+{
+    std::map<std::string, std::string> query;
+    const std::size_t mark = target.find('?');
+    for (std::size_t begin = mark == std::string::npos ? target.size() : mark + 1;
+         begin < target.size();) {
+        const std::size_t end = std::min(target.find('&', begin), target.size());
+        const std::string pair = target.substr(begin, end - begin);
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string::npos)
+            query[pair.substr(0, equals)] = urlDecode(pair.substr(equals + 1));
+        begin = end + 1;
+    }
+    return query;
+}
+
+std::string find(const std::map<std::string, std::string> &query, const std::string &key)
+{
+    const auto found = query.find(key);
+    return found == query.end() ? std::string() : found->second;
+}
+
+json_value itemRow(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    json_value row = json_value::object();
+    row.set("key", key);
+    row.set("value", platform::encodeBase64(value));
+    row.set("revision", revision);
+    row.set("created", revision);
+    row.set("lease", 0);
+    return row;
+}
+
+} // namespace
+
+platform_store::platform_store(boost::asio::io_context &io,
+                               const boost::asio::ip::tcp::endpoint &address)
+    : m_server(
+        io, address,
+        [this](const http_request &request, const std::shared_ptr<raw_connection> &connection) {
+            handle(request, connection);
+        })
+{ }
+
+void platform_store::put(const std::string &key, const std::string &value)
+{
+    m_items[key] = {value, ++m_revision};
+    m_changes.push_back({key, value, m_revision, false});
+}
+
+void platform_store::remove(const std::string &key)
+{
+    if (m_items.erase(key) > 0)
+        m_changes.push_back({key, "", ++m_revision, true});
+}
+
+std::string platform_store::value(const std::string &key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? std::string() : found->second.value;
+}
+
+void platform_store::handle(const http_request &request,
+                            const std::shared_ptr<raw_connection> &connection)
+{
+    ++m_calls;
+    if (m_faults.silent)
+        return;
+    if (m_faults.reset) {
+        connection->reset();
+        return;
+    }
+    reply answer{503, "{}"};
+    const std::string target(request.target());
+    const auto query = queryOf(target);
+    if (!m_faults.busy) {
+        if (target.rfind("/api/kv-range", 0) == 0)
+            answer = range(query);
+        else if (target.rfind("/api/kv-watch", 0) == 0)
+            answer = watch(query);
+        else if (target.rfind("/api/kv-txn", 0) == 0)
+            answer = transact(request.body());
+        else
+            answer = {404, "{}"};
+    }
+    if (m_faults.loseWrites && request.method() == boost::beast::http::verb::post)
+        return;
+    goldcrestdeck::http_response response(boost::beast::http::int_to_status(answer.status), 11);
+    response.body() = answer.body;
+    response.prepare_payload();
+    const std::string bytes = goldcrestdeck::serializeHead(response.base()) + answer.body;
+    connection->after(m_faults.delay, [connection, bytes] { connection->write(bytes); });
+}
+
+platform_store::reply platform_store::range(const std::map<std::string, std::string> &query) const
+{
+    const std::string prefix = find(query, "prefix");
+    const std::string after = find(query, "after");
+    json_value items = json_value::array();
+    bool more = false;
+    for (const auto &entry : m_items) {
+        if (entry.first.compare(0, prefix.size(), prefix) != 0 || entry.first <= after)
+            continue;
+        more = items.size() == pageItems;
+        if (more)
+            break;
+        items.append(itemRow(entry.first, entry.second.value, entry.second.revision));
+    }
+    json_value document = json_value::object();
+    document.set("items", items);
+    document.set("has-more", more);
+    document.set("store-revision", m_revision);
+    return {200, document.dump()};
+}
+
+platform_store::reply platform_store::watch(const std::map<std::string, std::string> &query) const
+{
+    const std::string prefix = find(query, "prefix");
+    const std::uint64_t after = std::strtoull(find(query, "after").c_str(), nullptr, 10);
+    if (after < m_compacted)
+        return {410, "{}"};
+    json_value events = json_value::array();
+    for (const change &made : m_changes) {
+        if (made.revision <= after || made.key.compare(0, prefix.size(), prefix) != 0)
+            continue;
+        if (!made.deleted) {
+            events.append(itemRow(made.key, made.value, made.revision));
+            continue;
+        }
+        json_value row = json_value::object();
+        row.set("key", made.key);
+        row.set("revision", made.revision);
+        row.set("deleted", true);
+        events.append(row);
+    }
+    json_value document = json_value::object();
+    document.set("events", events);
+    document.set("store-revision", m_revision);
+    return {200, document.dump()};
+}
+
+platform_store::reply platform_store::transact(const std::string &body)
+{
+    const json_value document = json_value::parse(body);
+    const json_value conditions = document.get("expected");
+    for (std::size_t i = 0; i < conditions.size(); ++i) {
+        const auto found = m_items.find(conditions.at(i).string("key"));
+        const std::uint64_t current = found == m_items.end() ? 0 : found->second.revision;
+        if (current != conditions.at(i).integer("revision"))
+            return {412, R"({"items":[]})"};
+    }
+    const json_value writes = document.get("set-keys");
+    ++m_revision;
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        const std::string key = writes.at(i).string("key");
+        const std::string value = platform::decodeBase64(writes.at(i).string("value"));
+        m_items[key] = {value, m_revision};
+        m_changes.push_back({key, value, m_revision, false});
+    }
+    json_value result = json_value::object();
+    result.set("revision", m_revision);
+    return {200, result.dump()};
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/raw_server.cc
@@ -0,0 +1,136 @@
+#include "standins/raw_server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 16 * 1024;
+
+} // namespace
+
+raw_connection::raw_connection(asio::ip::tcp::socket socket, handler handle)
+    : m_socket(std::move(socket))
+    , m_handle(std::move(handle))
+{ }
+
+void raw_connection::start()
+{
+    read();
+}
+
+void raw_connection::write(const std::string &bytes)
+{
+    m_out += bytes;
+    if (m_writing.empty())
+        writeNext();
+}
+
+void raw_connection::close()
+{
+    m_closing = true;
+    if (m_writing.empty())
+        writeNext();
+}
+
+void raw_connection::reset()
+{
+    m_open = false;
+    error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+void raw_connection::after(std::chrono::milliseconds time, std::function<void()> then)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_socket.get_executor(), time);
+    timer->async_wait([self = shared_from_this(), timer, then = std::move(then)](error_code) {
+        if (self->m_open)
+            then();
+    });
+}
+
+void raw_connection::read()
+{
+    const auto chunk = std::make_shared<std::string>(readBytes, '\0');
+    m_socket.async_read_some(
+        asio::buffer(*chunk),
+        [self = shared_from_this(), chunk](error_code error, std::size_t count) {
+            if (error) {
+                self->m_open = false;
+                return;
+            }
+            self->m_in.append(*chunk, 0, count);
+            while (true) {
+                http::request_parser<http::string_body> parser;
+                parser.eager(true);
+                error_code parsed;
+                const std::size_t used = parser.put(asio::buffer(self->m_in), parsed);
+                if (!parser.is_done())
+                    break;
+                self->m_in.erase(0, used);
+                self->m_handle(parser.release(), self);
+            }
+            if (self->m_open)
+                self->read();
+        });
+}
+
+void raw_connection::writeNext()
+{
+    if (!m_open)
+        return;
+    if (m_out.empty()) {
+        if (m_closing) {
+            m_open = false;
+            error_code ignored;
+            m_socket.close(ignored);
+        }
+        return;
+    }
+    m_writing.swap(m_out);
+    m_out.clear();
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                          self->m_writing.clear();
+                          if (error)
+                              self->m_open = false;
+                          else
+                              self->writeNext();
+                      });
+}
+
+raw_server::raw_server(asio::io_context &io, const asio::ip::tcp::endpoint &address,
+                       raw_connection::handler handle)
+    : m_acceptor(io, address)
+    , m_handle(std::move(handle))
+{
+    accept();
+}
+
+void raw_server::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+void raw_server::accept()
+{
+    m_acceptor.async_accept(
+        [this, accepted = m_accepted](error_code error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            ++*accepted;
+            std::make_shared<raw_connection>(std::move(socket), m_handle)->start();
+            accept();
+        });
+}
+
+} // namespace standins
