--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -367,7 +367,15 @@
         state.model = m_model;
         state.models = m_route->models.size();
         state.confidence = m_facts.confidence;
-        state.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_started);
+        state.promptTokens = static_cast<double>(m_request.promptTokens);
+        state.outputTokens
+            = static_cast<double>(m_request.outputHint.value_or(m_request.maxOutputTokens));
+        state.elapsed = now() - m_started;
+        if (!m_route->models.empty()) {
+            const std::string &largest = m_route->models.back();
+            state.largerLatency = m_state.expectedLatency(m_service, largest, state.promptTokens);
+            state.slowness = m_state.slowness(m_service, largest);
+        }
         state.targetLatency = m_route->targetLatency;
         state.sendsLeft = m_route->maxAttempts - std::min(m_route->maxAttempts, m_runs);
         state.mayRepeat
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -31,8 +31,12 @@
 constexpr double slowRatio = 3;
 constexpr double slowSeconds = 0.25;
 constexpr double latencyWeight = 0.1;
-/// Time to an answer's begin without any token to read, in tokens.
-constexpr double baseTokens = 300;
+/// Time to an answer's begin without any token to read, in tokens; engines need about as long for
+/// their first token as for reading so many.
+constexpr double baseTokens = 2000;
+/// By which the usual time of a model's answers follows a longer one, for each answer; shorter ones
+/// it follows at once.
+constexpr double usualWeight = 0.005;
 /// Weight of one answer in an instance's slowness, and its bounds.
 constexpr double slownessWeight = 0.2;
 constexpr double minSlowness = 0.5;
@@ -166,23 +170,32 @@
     state.unreadTokens = std::max(0.0, state.unreadTokens - chosen.weight * chosen.missingTokens);
     const double seconds = std::chrono::duration<double>(latency).count();
     const double perToken = seconds / (chosen.missingTokens + baseTokens);
-    const auto known
-        = m_secondsPerToken.emplace(chosen.target.service + ' ' + chosen.model, perToken).first;
+    model_pace &pace
+        = m_paces
+              .emplace(chosen.target.service + ' ' + chosen.model, model_pace{perToken, perToken})
+              .first->second;
     const double ratio
-        = std::clamp(perToken / std::max(known->second, 1e-9), minSlowness, maxSlowness);
+        = std::clamp(perToken / std::max(pace.lately, 1e-9), minSlowness, maxSlowness);
     state.slowness += slownessWeight * (ratio - state.slowness);
-    known->second += latencyWeight * (perToken - known->second);
+    pace.lately += latencyWeight * (perToken - pace.lately);
+    pace.usual = std::min(pace.usual + usualWeight * (pace.lately - pace.usual), pace.lately);
 }
 
 duration traffic_state::expectedLatency(const std::string &service, const std::string &model,
                                         double missingTokens) const
 {
-    const auto known = m_secondsPerToken.find(service + ' ' + model);
-    const double perToken = known == m_secondsPerToken.end() ? 0 : known->second;
+    const auto known = m_paces.find(service + ' ' + model);
+    const double perToken = known == m_paces.end() ? 0 : known->second.lately;
     return std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(perToken * (missingTokens + baseTokens)));
 }
 
+double traffic_state::slowness(const std::string &service, const std::string &model) const
+{
+    const auto known = m_paces.find(service + ' ' + model);
+    return known == m_paces.end() ? 1 : known->second.lately / std::max(known->second.usual, 1e-9);
+}
+
 void traffic_state::noteEnd(const chosen_instance &chosen, bool begun, send_result result,
                             time_point now)
 {
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -71,6 +71,8 @@
     /// Time in which an answer of \a model should begin, as far as such answers are known.
     duration expectedLatency(const std::string &service, const std::string &model,
                              double missingTokens) const;
+    /// How much longer than usual a model's answers take to begin; 1 is as usual.
+    double slowness(const std::string &service, const std::string &model) const;
     void noteEnd(const chosen_instance &chosen, bool begun, send_result result, time_point now);
 
     void noteRequest(const std::string &service, time_point now);
@@ -107,6 +109,11 @@
         time_point at;  ///< Of the last begin or end of a request.
         int active = 0; ///< Requests under way.
     };
+    /// Seconds to an answer's begin for each token to read.
+    struct model_pace {
+        double lately = 0;
+        double usual = 0;
+    };
     using session_key = std::pair<std::string, std::string>; ///< Service and session.
 
     std::vector<const instance *> eligible(const placement_request &request, version_side side,
@@ -129,8 +136,7 @@
     std::map<session_key, session_entry> m_sessions;
     std::map<std::string, std::pair<std::uint64_t, exposure_meter>> m_meters; ///< With the order.
     std::map<std::string, double> m_latencies; ///< Seconds, by route and model.
-    std::map<std::string, double>
-        m_secondsPerToken; ///< To an answer's begin, by service and model.
+    std::map<std::string, model_pace> m_paces; ///< By service and model.
     prompt_memory m_prompts;
     time_point m_expiredAt;
 };
