--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -17,8 +17,9 @@
 
 namespace {
 
-/// Polls within the time in which a configuration must be in force, so that one may be missed.
-constexpr int pollsPerApplyTime = 4;
+/// Part of the time in which a configuration must be in force, and a leaving instance be left
+/// alone, between two polls: one may be missed, with its time-out, and the next is still in time.
+constexpr double pollPart = 0.35;
 /// Before the next call when the service did not answer.
 constexpr std::chrono::milliseconds retryPause{250};
 /// A feed that is silent for this many heartbeats of the instances is not trusted.
@@ -120,7 +121,8 @@
 
 std::chrono::milliseconds store_follower::pollInterval() const
 {
-    return std::min(m_settings.applyTime, m_settings.drainTime) / pollsPerApplyTime;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        pollPart * std::min(m_settings.applyTime, m_settings.drainTime));
 }
 
 void store_follower::schedule(std::chrono::milliseconds wait)
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -61,7 +61,7 @@
     double canaryPart = 0.45;
     /// The canary begins this long after the order. By then every host has told the others which
     /// sessions it has lately had on the established version, at sessionsAfter and again then.
-    std::chrono::milliseconds canaryDelay{1800};
+    std::chrono::milliseconds canaryDelay{2400};
     std::chrono::milliseconds sessionsAfter{1000};
     /// Part of exposureSlack that all hosts together may use, and the hosts it is divided among.
     double slackPart = 0.8;
