--- /dev/null
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -0,0 +1,194 @@
+#include "goldcrestdeck/testing/router_harness.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct head_case {
+    const char *name;
+    const char *head;
+    bool accepted;
+};
+
+class request_head : public ::testing::TestWithParam<head_case>
+{ };
+
+TEST_P(request_head, ambiguous_forms_are_rejected)
+{
+    EXPECT_EQ(GetParam().accepted, isUnambiguousHead(GetParam().head)) << GetParam().name;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    forms, request_head,
+    ::testing::Values(
+        head_case{"plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", true},
+        head_case{"length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n", true},
+        head_case{"chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+        head_case{"length and chunked",
+                  "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  false},
+        head_case{"two lengths",
+                  "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n", false},
+        head_case{"list of lengths", "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n", false},
+        head_case{"signed length", "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n", false},
+        head_case{"empty length", "POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", false},
+        head_case{"other coding", "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n", false},
+        head_case{"two codings", "POST / HTTP/1.1\r\nTransfer-Encoding: identity, chunked\r\n\r\n",
+                  false},
+        head_case{"coding twice",
+                  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+                  "chunked\r\n\r\n",
+                  false},
+        head_case{"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", false},
+        head_case{"folded line", "GET / HTTP/1.1\r\nX-A: 1\r\n 2\r\n\r\n", false},
+        head_case{"bare line feed", "GET / HTTP/1.1\nHost: a\r\n\r\n", false},
+        head_case{"bare line feed in a value", "GET / HTTP/1.1\r\nX-A: 1\nX-B: 2\r\n\r\n", false},
+        head_case{"bare carriage return", "GET / HTTP/1.1\r\nX-A: 1\rX-B: 2\r\n\r\n", false},
+        head_case{"space before the colon", "GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\n", false},
+        head_case{"tab before the colon", "GET / HTTP/1.1\r\nContent-Length\t: 3\r\n\r\n", false},
+        head_case{"no colon", "GET / HTTP/1.1\r\nnonsense\r\n\r\n", false},
+        head_case{"no name", "GET / HTTP/1.1\r\n: x\r\n\r\n", false},
+        head_case{"control byte", "GET / HTTP/1.1\r\nX-A: \x01\r\n\r\n", false},
+        head_case{"no request line", "\r\n", false}));
+
+/// A server that answers each request with its target and body.
+class http_engine_fixture : public ::testing::Test
+{
+protected:
+    http_engine_fixture()
+    {
+        client_limits limits;
+        limits.maxHeadBytes = 1000;
+        limits.maxBodyBytes = 5000;
+        limits.headTimeout = milliseconds(300);
+        limits.idleTimeout = milliseconds(600);
+        m_server = std::make_unique<async_server>(
+            m_io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
+            limits,
+            [this](const http_request &request, const std::shared_ptr<http_answer> &answer) {
+                ++m_requests;
+                http_response response(boost::beast::http::status::ok, 11);
+                response.body() = std::string(request.target()) + ' ' + request.body();
+                answer->send(std::move(response));
+            });
+        m_address = m_server->address();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~http_engine_fixture() override
+    {
+        boost::asio::post(m_io, [this] { m_server->stop(); });
+        m_thread.join();
+    }
+
+    unsigned statusOf(const std::string &bytes)
+    {
+        byte_client client(m_address);
+        client.send(bytes);
+        return client.read().result_int();
+    }
+
+    boost::asio::io_context m_io;
+    std::unique_ptr<async_server> m_server;
+    boost::asio::ip::tcp::endpoint m_address;
+    std::atomic<int> m_requests{0};
+    std::thread m_thread;
+};
+
+TEST_F(http_engine_fixture, smuggled_request_is_never_read)
+{
+    // What follows the ambiguous request would be a second one for a parser that trusts the other
+    // field.
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const std::string framing :
+         {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+          "Content-Length: 0\r\nContent-Length: 40\r\n", "Content-Length : 40\r\n",
+          "Transfer-Encoding: \x0b"
+          "chunked\r\n",
+          "X: y\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n"}) {
+        byte_client client(m_address);
+        client.send("POST /x HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n0\r\n\r\n" + hidden);
+        EXPECT_EQ(400U, client.read().result_int()) << framing;
+        EXPECT_TRUE(client.readsEnd());
+    }
+    EXPECT_EQ(0, m_requests);
+}
+
+TEST_F(http_engine_fixture, malformed_chunks_are_rejected)
+{
+    const std::string head = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char *body : {"zz\r\nabc\r\n0\r\n\r\n", "-1\r\n\r\n"})
+        EXPECT_EQ(400U, statusOf(head + body)) << body;
+    // A size line that ends in a bare line feed has not ended: the body never comes.
+    EXPECT_EQ(408U, statusOf(head + "3\nabc\n0\n\n"));
+    EXPECT_EQ(0, m_requests);
+}
+
+TEST_F(http_engine_fixture, body_in_chunks_is_read_whole)
+{
+    byte_client client(m_address);
+    client.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+    std::this_thread::sleep_for(milliseconds(20));
+    client.send("c\r\n2\r\nde\r\n0\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ("/x abcde", client.read().body());
+    EXPECT_EQ("/next ", client.read().body());
+}
+
+TEST_F(http_engine_fixture, overlong_head_and_body_are_rejected)
+{
+    EXPECT_EQ(431U, statusOf("GET /x HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n"));
+    EXPECT_EQ(413U, statusOf("POST /x HTTP/1.1\r\nContent-Length: 6000\r\n\r\n"));
+    EXPECT_EQ(0, m_requests);
+}
+
+TEST_F(http_engine_fixture, slow_head_is_ended_as_not_run)
+{
+    byte_client client(m_address);
+    client.send("GET /x HTTP/1.1\r\nHost:");
+    EXPECT_EQ(408U, client.read().result_int());
+    EXPECT_TRUE(client.readsEnd());
+}
+
+TEST_F(http_engine_fixture, idle_connection_is_closed_in_order)
+{
+    byte_client client(m_address);
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(200U, client.read().result_int());
+    EXPECT_TRUE(client.readsEnd());
+}
+
+TEST_F(http_engine_fixture, stopping_server_closes_behind_each_answer)
+{
+    byte_client client(m_address);
+    boost::asio::post(m_io, [this] { m_server->closeAfterAnswers(); });
+    std::this_thread::sleep_for(milliseconds(20));
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    const http_response answer = client.read();
+    EXPECT_EQ("close", answer[boost::beast::http::field::connection]);
+    EXPECT_TRUE(client.readsEnd());
+}
+
+TEST_F(http_engine_fixture, client_that_asks_for_close_gets_it)
+{
+    byte_client client(m_address);
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(200U, client.read().result_int());
+    EXPECT_TRUE(client.readsEnd());
+}
+
+TEST(connection_fields, those_named_by_connection_are_removed)
+{
+    http_fields fields;
+    fields.set("Connection", "close, X-Own");
+    fields.set("X-Own", "1");
+    fields.set("Keep-Alive", "timeout=5");
+    fields.set("Transfer-Encoding", "chunked");
+    fields.set("X-Kept", "1");
+    removeConnectionFields(fields);
+    EXPECT_EQ(1, std::distance(fields.begin(), fields.end()));
+    EXPECT_EQ("1", fields["X-Kept"]);
+}
+
+} // namespace
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/testing/router_core_test.cc
@@ -0,0 +1,336 @@
+// The core of the router, each part against an obvious, slow counterpart.
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "goldcrestdeck/drain_policy.h"
+#include "goldcrestdeck/instance_directory.h"
+#include "goldcrestdeck/model_cascade.h"
+#include "goldcrestdeck/numbered_events.h"
+#include "goldcrestdeck/placement.h"
+#include "goldcrestdeck/retry_allowance.h"
+#include "goldcrestdeck/routing_config.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RC_GTEST_PROP(route_match, longest_prefix_of_the_host_wins, ())
+{
+    const auto segment = rc::gen::elementOf(std::vector<std::string>{"a", "b", "ab"});
+    const auto segments = rc::gen::container<std::vector<std::string>>(segment);
+    const auto joined = [](const std::vector<std::string> &parts) {
+        std::string path = "/";
+        for (const std::string &part : parts)
+            path += part + '/';
+        return path;
+    };
+    routing_parts parts;
+    const auto prefixes = *rc::gen::container<std::vector<std::vector<std::string>>>(segments);
+    for (const auto &prefix : prefixes) {
+        route added;
+        added.host = *rc::gen::elementOf(std::vector<std::string>{"one.example", "two.example"});
+        added.prefix = joined(prefix);
+        const bool known
+            = std::any_of(parts.routes.begin(), parts.routes.end(), [&](const route &r) {
+                  return r.host == added.host && r.prefix == added.prefix;
+              });
+        if (!known)
+            parts.routes.push_back(added);
+    }
+    const routing_config config(parts);
+    std::string path = joined(*segments);
+    if (*rc::gen::arbitrary<bool>())
+        path += "tail";
+    const std::string query = *rc::gen::arbitrary<bool>() ? "?x=/a/b/" : "";
+    // The naive matcher looks at every route.
+    const route *expected = nullptr;
+    for (const route &candidate : config.routes()) {
+        if (candidate.host == "one.example" && path.rfind(candidate.prefix, 0) == 0
+            && (expected == nullptr || candidate.prefix.size() > expected->prefix.size()))
+            expected = &candidate;
+    }
+    RC_ASSERT(config.match("ONE.example:80", path + query) == expected);
+}
+
+TEST(choose_service, shares_follow_the_weights)
+{
+    route split;
+    split.services = {{"a", 3}, {"none", 0}, {"b", 1}};
+    int toA = 0;
+    for (int i = 0; i < 100; ++i) {
+        const std::string chosen = chooseService(split, i / 100.0);
+        ASSERT_NE("none", chosen);
+        toA += chosen == "a" ? 1 : 0;
+    }
+    EXPECT_EQ(75, toA);
+}
+
+instance makeInstance(const std::string &id, bool draining = false)
+{
+    instance result;
+    result.id = id;
+    result.draining = draining;
+    return result;
+}
+
+TEST(instance_directory, missing_entry_is_gone_at_once)
+{
+    manual_clock time;
+    instance_directory directory(seconds(2));
+    directory.replaceAll({makeInstance("a"), makeInstance("b")}, time.now());
+    directory.replaceAll({makeInstance("b")}, time.now());
+    EXPECT_EQ(1U, directory.list().size());
+    directory.remove("b", time.now());
+    EXPECT_TRUE(directory.list().empty());
+}
+
+TEST(instance_directory, entry_that_lapsed_in_an_outage_is_kept_until_it_should_be_back)
+{
+    manual_clock time;
+    instance_directory directory(seconds(2));
+    directory.replaceAll({makeInstance("a"), makeInstance("b"), makeInstance("c", true)},
+                         time.now());
+    directory.noteRegained(time.now());
+    directory.replaceAll({}, time.now());
+    EXPECT_EQ(2U, directory.list().size()); // A draining one does not come back.
+    time.advance(milliseconds(1000));
+    directory.put(makeInstance("a"));
+    EXPECT_FALSE(directory.expire(time.now()));
+    time.advance(milliseconds(1001));
+    EXPECT_TRUE(directory.expire(time.now()));
+    ASSERT_EQ(1U, directory.list().size());
+    EXPECT_EQ("a", directory.list()[0].id);
+}
+
+RC_GTEST_PROP(numbered_events, chunking_does_not_change_the_events, ())
+{
+    const int count = *rc::gen::inRange(0, 8);
+    std::string stream;
+    std::vector<std::uint64_t> ids;
+    for (int i = 1; i <= count; ++i) {
+        const std::string end = *rc::gen::arbitrary<bool>() ? "\n" : "\r\n";
+        stream += "id: " + std::to_string(i) + end + "data: x" + end + end;
+        ids.push_back(i);
+    }
+    numbered_event_splitter splitter;
+    std::string passed;
+    std::vector<std::uint64_t> seen;
+    for (std::size_t begin = 0; begin < stream.size();) {
+        const std::size_t size = *rc::gen::inRange<std::size_t>(1, 12);
+        for (const numbered_event &event : splitter.feed(stream.substr(begin, size))) {
+            passed += event.text;
+            RC_ASSERT(event.id.has_value());
+            seen.push_back(*event.id);
+        }
+        begin += size;
+    }
+    RC_ASSERT(passed == stream);
+    RC_ASSERT(seen == ids);
+    RC_ASSERT(splitter.partial().empty());
+}
+
+TEST(numbered_events, id_that_is_no_number_is_none)
+{
+    numbered_event_splitter splitter;
+    for (const std::string text :
+         {"id: x\n\n", "id: 1x\n\n", "data: id: 4\n\n", "id: 99999999999999999999\n\n"})
+        EXPECT_FALSE(splitter.feed(text).at(0).id) << text;
+    EXPECT_EQ(7U, splitter.feed("x-version: 2\nid:7\n\n").at(0).id.value());
+}
+
+RC_GTEST_PROP(retry_allowance, no_window_has_more_repeats_than_its_part_of_the_budget, ())
+{
+    retry_parameters parameters;
+    parameters.hosts = 4;
+    retry_allowance allowance(parameters);
+    manual_clock time;
+    std::deque<std::pair<time_point, bool>> log;
+    const int steps = *rc::gen::inRange(1, 400);
+    for (int i = 0; i < steps; ++i) {
+        time.advance(milliseconds(*rc::gen::inRange(0, 300)));
+        const bool repeat = *rc::gen::arbitrary<bool>();
+        if (!repeat) {
+            allowance.noteRequest(time.now());
+            log.emplace_back(time.now(), false);
+        } else if (allowance.mayRepeat(repeat_reason::failure, time.now())) {
+            allowance.noteRepeat(time.now());
+            log.emplace_back(time.now(), true);
+        }
+        double requests = 0;
+        double before = 0;
+        double repeats = 0;
+        for (const auto &entry : log) {
+            const duration age = time.now() - entry.first;
+            if (age <= parameters.window)
+                (entry.second ? repeats : requests) += 1;
+            else if (age <= 2 * parameters.window && !entry.second)
+                before += 1;
+        }
+        RC_ASSERT(repeats <= parameters.ratio * std::max(requests, before)
+                      + parameters.slack / parameters.hosts);
+    }
+}
+
+TEST(retry_allowance, repeats_for_a_better_answer_stop_first)
+{
+    retry_allowance allowance(retry_parameters{});
+    manual_clock time;
+    for (int i = 0; i < 100; ++i)
+        allowance.noteRequest(time.now());
+    int upgrades = 0;
+    while (allowance.mayRepeat(repeat_reason::upgrade, time.now())) {
+        allowance.noteRepeat(time.now());
+        ++upgrades;
+    }
+    EXPECT_GT(upgrades, 50);
+    EXPECT_TRUE(allowance.mayRepeat(repeat_reason::failure, time.now()));
+}
+
+TEST(drain_policy, requests_that_outlast_the_process_are_refused_after_the_balancers_lag)
+{
+    manual_clock time;
+    drain_times times;
+    times.started = time.now();
+    EXPECT_TRUE(acceptsWhileDraining(times, seconds(25), time.now()));
+    time.advance(seconds(3));
+    EXPECT_FALSE(acceptsWhileDraining(times, seconds(25), time.now()));
+    EXPECT_TRUE(acceptsWhileDraining(times, milliseconds(600), time.now()));
+    time.advance(milliseconds(4100));
+    EXPECT_FALSE(acceptsWhileDraining(times, milliseconds(600), time.now()));
+}
+
+cascade_state unsureState()
+{
+    cascade_state state;
+    state.models = 3;
+    state.confidence = 20;
+    state.promptTokens = 1000;
+    state.outputTokens = 200;
+    state.targetLatency = seconds(1);
+    state.largerLatency = milliseconds(200);
+    state.sendsLeft = 1;
+    state.mayRepeat = true;
+    return state;
+}
+
+TEST(model_cascade, unsure_answer_goes_to_the_largest_model)
+{
+    EXPECT_EQ(2U, nextModel(unsureState(), cascade_parameters()).value());
+}
+
+TEST(model_cascade, answer_is_kept_where_an_upgrade_is_not_possible)
+{
+    for (int reason = 0; reason < 6; ++reason) {
+        cascade_state state = unsureState();
+        if (reason == 0)
+            state.model = 2;
+        else if (reason == 1)
+            state.confidence.reset();
+        else if (reason == 2)
+            state.sendsLeft = 0;
+        else if (reason == 3)
+            state.mayRepeat = false;
+        else if (reason == 4)
+            state.elapsed = milliseconds(800);
+        else
+            state.confidence = 90;
+        EXPECT_FALSE(nextModel(state, cascade_parameters())) << reason;
+    }
+}
+
+RC_GTEST_PROP(model_cascade, load_and_reading_only_ever_lower_the_bar, ())
+{
+    cascade_state state = unsureState();
+    state.promptTokens = *rc::gen::inRange(0, 60'000);
+    state.outputTokens = *rc::gen::inRange(0, 2000);
+    state.slowness = *rc::gen::inRange(1, 10);
+    cascade_state busier = state;
+    busier.slowness += *rc::gen::inRange(0, 5);
+    busier.promptTokens += *rc::gen::inRange(0, 10'000);
+    const cascade_parameters parameters;
+    RC_ASSERT(keepFrom(busier, parameters) <= keepFrom(state, parameters));
+    RC_ASSERT(keepFrom(state, parameters) <= parameters.keepFromMost);
+    RC_ASSERT(keepFrom(state, parameters) >= parameters.keepFromLeast - parameters.loadRelief);
+}
+
+/// Plays requests of two models against instances that read prompts one after the other, and
+/// compares the time to begin with instances chosen at random.
+double meanWait(bool placed, unsigned seed)
+{
+    constexpr int instances = 6;
+    std::mt19937 random(seed);
+    std::vector<double> busyUntil(instances, 0);
+    double sum = 0;
+    constexpr int requests = 3000;
+    for (int i = 0; i < requests; ++i) {
+        const double now = i;
+        const bool large = random() % 3 == 0;
+        const double work = large ? 10 : 1;
+        std::size_t chosen = random() % instances;
+        if (placed) {
+            std::vector<placement_option> options(instances);
+            for (int k = 0; k < instances; ++k) {
+                options[k].incarnation = std::to_string(k);
+                options[k].slots = 64;
+                options[k].unreadTokens = std::max(0.0, busyUntil[k] - now);
+                options[k].missingTokens = work;
+            }
+            chosen = place(options, random(), placement_parameters());
+        }
+        busyUntil[chosen] = std::max(busyUntil[chosen], now) + work;
+        sum += busyUntil[chosen] - now;
+    }
+    return sum / requests;
+}
+
+TEST(placement, uneven_requests_begin_sooner_than_at_random_instances)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed)
+        EXPECT_LT(meanWait(true, seed), 0.5 * meanWait(false, seed)) << seed;
+}
+
+TEST(placement, cached_prompt_draws_a_request_until_the_instance_is_loaded)
+{
+    std::vector<placement_option> options(2);
+    options[0].incarnation = "a";
+    options[1].incarnation = "b";
+    options[0].slots = options[1].slots = 64;
+    options[0].missingTokens = 100;
+    options[1].missingTokens = 5000;
+    EXPECT_EQ(0U, place(options, 1, placement_parameters()));
+    options[0].unreadTokens = 6000;
+    EXPECT_EQ(1U, place(options, 1, placement_parameters()));
+}
+
+TEST(placement, instance_that_turned_requests_away_is_the_last_choice)
+{
+    std::vector<placement_option> options(2);
+    options[0].refusedLately = true;
+    options[1].inFlight = options[1].load = 50;
+    options[1].slots = 4;
+    EXPECT_EQ(1U, place(options, 1, placement_parameters()));
+}
+
+TEST(prompt_memory, only_an_unbroken_run_of_leading_parts_counts)
+{
+    manual_clock time;
+    prompt_memory memory(seconds(10));
+    memory.noteSent({{"a", 100}, {"b", 50}}, "m", "i1", time.now());
+    EXPECT_EQ(150, memory.cachedTokens({{"a", 100}, {"b", 50}, {"c", 9}}, "m", "i1", time.now()));
+    EXPECT_EQ(100, memory.cachedTokens({{"a", 100}, {"c", 9}, {"b", 50}}, "m", "i1", time.now()));
+    EXPECT_EQ(0, memory.cachedTokens({{"b", 50}}, "m", "i1", time.now()));
+    EXPECT_EQ(0, memory.cachedTokens({{"a", 100}}, "other", "i1", time.now()));
+    EXPECT_EQ(0, memory.cachedTokens({{"a", 100}}, "m", "i2", time.now()));
+    time.advance(seconds(11));
+    EXPECT_EQ(0, memory.cachedTokens({{"a", 100}}, "m", "i1", time.now()));
+}
+
+} // namespace
+} // namespace goldcrestdeck
