Streams are taken from instances that fall silent

Change: a stream that may be continued goes elsewhere once its first event is six times later than expected and later than its target, or an event is 1.5 target gaps late; the old connection is closed first. Test first: stream_of_a_silent_instance_is_served_by_another, stream_that_falls_silent_is_continued.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -47,6 +47,12 @@
 constexpr double idleShare = 0.75;
 /// A request that may be repeated is sent elsewhere after this many times its target latency.
 constexpr int patienceFactor = 2;
+/// A stream that may be continued is taken from a silent instance once its first event is this many
+/// times later than expected, and later than its target; or, in its middle, once an event is this
+/// many target gaps late. Under load the expected time grows, so that streams keep their place.
+constexpr int silenceFactor = 6;
+constexpr double gapFactor = 1.5;
+constexpr std::chrono::milliseconds minGapPatience{1200};
 /// The least urgent rank that an instance knows.
 constexpr unsigned lowestPriority = 9;
 
@@ -201,8 +207,8 @@
     {
         time_point until = m_deadline;
         m_tryUntil = m_deadline;
-        if (m_sending && m_route->kind == request_kind::repeatable && m_runs < m_route->maxAttempts)
-            m_tryUntil = std::min(m_deadline, now() + patienceFactor * m_route->targetLatency);
+        if (m_sending && isRepeatable() && m_runs < m_route->maxAttempts)
+            m_tryUntil = std::min(m_deadline, m_heardAt + patience());
         until = std::min(until, m_tryUntil);
         m_timer.expires_after(std::max<duration>(until - now(), duration(0)));
         m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
@@ -211,6 +217,20 @@
         });
     }
 
+    /// How long the current send may be silent before the request is sent elsewhere.
+    duration patience() const
+    {
+        if (m_route->kind == request_kind::repeatable)
+            return patienceFactor * m_route->targetLatency;
+        if (m_streaming)
+            return std::max<duration>(
+                std::chrono::duration_cast<duration>(gapFactor * m_route->targetGap),
+                minGapPatience);
+        return std::max<duration>(
+            m_route->targetLatency,
+            silenceFactor * m_state.expectedLatency(m_service, model(), m_chosen.missingTokens));
+    }
+
     void onTimer()
     {
         const time_point time = now();
@@ -218,10 +238,17 @@
             giveUp();
             return;
         }
-        if (m_sending && time >= m_tryUntil
-            && m_state.mayRepeat(m_service, repeat_reason::failure, time)) {
+        const bool canMove = m_sending && isRepeatable() && m_runs < m_route->maxAttempts
+            && !(m_streaming && !m_numbered);
+        if (canMove && time < m_heardAt + patience()) {
+            setTimer();
+            return;
+        }
+        if (canMove && m_state.mayRepeat(m_service, repeat_reason::failure, time)) {
             m_call.cancel();
+            m_mayHaveRun = true;
             endSend(send_result::failed, "slow");
+            m_reason = "silent";
             send();
             return;
         }
@@ -268,6 +295,7 @@
         ++m_runs;
         m_state.noteSent(wanted, m_chosen, time);
         m_sentAt = time;
+        m_heardAt = time;
         m_sending = true;
         m_begun = false;
         m_mode = answer_mode::none;
@@ -404,7 +432,7 @@
             }
             beginStream();
             m_answer->write(event.text);
-            m_streamedAny = true;
+            m_heardAt = now();
             if (event.id)
                 m_lastEvent = event.id;
             else
@@ -642,6 +670,7 @@
     time_point m_deadline;
     time_point m_tryUntil;
     time_point m_sentAt;
+    time_point m_heardAt; ///< Of the current send: when it began, or its last event.
     std::shared_ptr<const routing_config> m_config; ///< Keeps the route and the workspace alive.
     const route *m_route = nullptr;
     const workspace_spec *m_workspace = nullptr;
@@ -662,8 +691,7 @@
     bool m_mayHaveRun = false;
     bool m_failedOnCandidate = false;
     bool m_streaming = false; ///< The client has got the head of its stream.
-    bool m_streamedAny = false;
-    bool m_numbered = true; ///< Every event so far had an id.
+    bool m_numbered = true;   ///< Every event so far had an id.
     answer_mode m_mode = answer_mode::none;
     http_response_head m_head;
     answer_facts m_facts;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -150,6 +150,37 @@
         EXPECT_EQ(200, ask(requestText("GET", "/safe/x", std::to_string(i))).result_int());
 }
 
+TEST_F(forwarder_fixture, stream_of_a_silent_instance_is_served_by_another)
+{
+    runner_behaviour silent;
+    silent.silent = true;
+    runner_behaviour whole;
+    whole.events = 10;
+    onLoop([&] {
+        m_runners[2]->setBehaviour(silent);
+        m_runners[3]->setBehaviour(whole);
+    });
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(events(1, 10), ask(streamRequest("r" + std::to_string(i))).body());
+}
+
+TEST_F(forwarder_fixture, stream_that_falls_silent_is_continued_by_another)
+{
+    runner_behaviour stalling;
+    stalling.events = 10;
+    stalling.stallAfter = 4;
+    setBehaviour(stalling);
+    std::thread mend([&] {
+        std::this_thread::sleep_for(milliseconds(300));
+        runner_behaviour whole;
+        whole.events = 10;
+        setBehaviour(whole);
+    });
+    const http_response answer = ask(streamRequest("r1"));
+    mend.join();
+    EXPECT_EQ(events(1, 10), answer.body());
+}
+
 TEST_F(forwarder_fixture, failure_of_every_instance_is_returned_as_it_was_given)
 {
     runner_behaviour failing;
--- a/standins/platform_runner.cc
+++ b/standins/platform_runner.cc
@@ -127,6 +127,8 @@
         connection->after(std::chrono::milliseconds(20), [connection] { connection->reset(); });
         return;
     }
+    if (behaviour.stallAfter >= 0 && number > behaviour.stallAfter)
+        return;
     if (number > behaviour.events) {
         connection->write(goldcrestdeck::closingChunk);
         return;
--- a/standins/platform_runner.h
+++ b/standins/platform_runner.h
@@ -21,6 +21,7 @@
     int confidence = -1;              ///< Of the smallest model; below 0: none is told.
     int events = 0;                   ///< A stream of so many events; 0: a whole answer.
     int breakAfter = -1;              ///< Resets behind so many events, in the middle of the next.
+    int stallAfter = -1;              ///< Says nothing more behind so many events.
     std::chrono::milliseconds gap{1}; ///< Before each event.
     std::chrono::milliseconds delay{0}; ///< Before the answer.
     bool silent = false;                ///< Runs the request and never answers.
