Process tests of the router, and an orderly end of accepting

The first run of the stop test failed: a connection that was accepted just before the process ended was reset. Change: after the balancer's lag the listening socket closes first. The names http_request and http_response also named other types of this namespace; the engine's are http1_ now. The stop test's first form counted a closed connection as wrong even if its request was never passed on; it now asks the runners, which is what is promised.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -33,7 +33,7 @@
 constexpr std::size_t maxIdleConnections = 64;
 
 /// The time in a Keep-Alive field, or the assumed one.
-std::chrono::milliseconds keepAliveTime(const http_response_head &head)
+std::chrono::milliseconds keepAliveTime(const http1_response_head &head)
 {
     const std::string value(head[http::field::keep_alive]);
     const std::size_t at = value.find("timeout=");
@@ -76,7 +76,7 @@
     }
     ~connection() { --m_shared->open; }
 
-    void open(const tcp::endpoint &server, std::uint64_t call, const http_request &request,
+    void open(const tcp::endpoint &server, std::uint64_t call, const http1_request &request,
               answer_observer observer, call_options options)
     {
         prepare(call, request, std::move(observer), std::move(options));
@@ -97,7 +97,7 @@
         });
     }
 
-    void reuse(std::uint64_t call, const http_request &request, answer_observer observer,
+    void reuse(std::uint64_t call, const http1_request &request, answer_observer observer,
                call_options options)
     {
         prepare(call, request, std::move(observer), std::move(options));
@@ -137,7 +137,7 @@
 private:
     using parser = http::response_parser<http::string_body>;
 
-    void prepare(std::uint64_t call, const http_request &request, answer_observer observer,
+    void prepare(std::uint64_t call, const http1_request &request, answer_observer observer,
                  call_options options)
     {
         m_call = call;
@@ -408,7 +408,7 @@
 }
 
 async_client::call_handle async_client::call(const tcp::endpoint &server, const std::string &peer,
-                                             const http_request &request, answer_observer observer,
+                                             const http1_request &request, answer_observer observer,
                                              call_options options)
 {
     call_handle handle;
--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -32,7 +32,7 @@
 const char *toString(call_failure failure);
 
 struct answer_observer {
-    std::function<void(const http_response_head &)> onHead;
+    std::function<void(const http1_response_head &)> onHead;
     /// Bytes of the body as they come; never empty.
     std::function<void(std::string)> onBody;
     /// The answer is whole.
@@ -47,7 +47,7 @@
     /// server keeps it; 0 asks for a new connection.
     double maxIdleShare = 0.75;
     /// Answers for which this is false belong to an earlier request and are skipped.
-    std::function<bool(const http_response_head &)> isOwnAnswer;
+    std::function<bool(const http1_response_head &)> isOwnAnswer;
 };
 
 class async_client
@@ -76,7 +76,7 @@
 
     /// \a peer names the process behind \a server: a connection kept for another one is not used.
     call_handle call(const boost::asio::ip::tcp::endpoint &server, const std::string &peer,
-                     const http_request &request, answer_observer observer, call_options options);
+                     const http1_request &request, answer_observer observer, call_options options);
 
     /// Closes the connections kept for a process that is gone.
     void forget(const std::string &peer);
--- a/goldcrestdeck/async_server.cc
+++ b/goldcrestdeck/async_server.cc
@@ -113,7 +113,7 @@
             gone();
     }
 
-    void send(http_response response) override
+    void send(http1_response response) override
     {
         const bool last = isLastAnswer();
         response.version(11);
@@ -125,7 +125,7 @@
         finish(std::move(bytes), last);
     }
 
-    void begin(http_response_head head) override
+    void begin(http1_response_head head) override
     {
         head.version(11);
         m_chunked = m_requestVersion >= 11;
@@ -289,7 +289,7 @@
 
     void dispatch()
     {
-        http_request request = m_parser->release();
+        http1_request request = m_parser->release();
         m_parser.reset();
         m_timer.cancel();
         m_phase = phase::answering;
@@ -320,7 +320,7 @@
         m_parser.reset();
         m_keepAlive = false;
         m_isHead = false;
-        http_response response(status, 11);
+        http1_response response(status, 11);
         response.set(http::field::content_type, "application/json");
         response.body() = R"({"code":"malformed_request","run":"no"})";
         send(std::move(response));
@@ -451,6 +451,12 @@
     m_state->closeAfterAnswers = true;
 }
 
+void async_server::stopAccepting()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
 void async_server::closeIdle()
 {
     const auto connections = m_state->connections;
@@ -472,8 +478,7 @@
 
 void async_server::stop()
 {
-    error_code ignored;
-    m_acceptor.close(ignored);
+    stopAccepting();
     const auto connections = m_state->connections;
     for (const auto &open : connections)
         open->abort();
--- a/goldcrestdeck/async_server.h
+++ b/goldcrestdeck/async_server.h
@@ -30,9 +30,9 @@
     virtual ~http_answer() = default;
 
     /// A whole answer; its length is set here.
-    virtual void send(http_response response) = 0;
+    virtual void send(http1_response response) = 0;
     /// The head of an answer whose body follows in pieces.
-    virtual void begin(http_response_head head) = 0;
+    virtual void begin(http1_response_head head) = 0;
     virtual void write(const std::string &piece) = 0;
     virtual void end() = 0;
     /// Closes the connection so that the answer cannot be taken for a whole one.
@@ -58,7 +58,7 @@
 class async_server
 {
 public:
-    using handler = std::function<void(http_request, std::shared_ptr<http_answer>)>;
+    using handler = std::function<void(http1_request, std::shared_ptr<http_answer>)>;
 
     /// \throws boost::system::system_error if the address cannot be bound.
     async_server(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address,
@@ -70,6 +70,8 @@
     void setLimits(const client_limits &limits);
     /// From now on every answer closes its connection.
     void closeAfterAnswers();
+    /// New connections are refused from now on; those that are open stay.
+    void stopAccepting();
     /// Closes the connections on which no request is being read or answered.
     void closeIdle();
     std::size_t openConnections() const;
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -61,10 +61,10 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
-http_response makeRefusal(http::status status, const std::string &code, run_state run,
-                          std::optional<std::chrono::milliseconds> retryAfter)
+http1_response makeRefusal(http::status status, const std::string &code, run_state run,
+                           std::optional<std::chrono::milliseconds> retryAfter)
 {
-    http_response response(status, 11);
+    http1_response response(status, 11);
     json_value body = json_value::object();
     body.set("code", code);
     body.set("run", toString(run));
@@ -324,7 +324,7 @@
         const unsigned number = m_sends;
         const auto self = shared_from_this();
         answer_observer observer;
-        observer.onHead = [self, number](const http_response_head &head) {
+        observer.onHead = [self, number](const http1_response_head &head) {
             if (self->isCurrent(number))
                 self->onHead(head);
         };
@@ -343,7 +343,7 @@
         call_options options;
         options.maxIdleShare = isRepeatable() ? idleShare : onceIdleShare;
         options.isOwnAnswer
-            = [wire = m_parts.wire, id = m_request.id](const http_response_head &head) {
+            = [wire = m_parts.wire, id = m_request.id](const http1_response_head &head) {
                   const std::string answered = wire.decodeAnswer(head).requestId;
                   return answered.empty() || answered == id;
               };
@@ -354,7 +354,7 @@
 
     bool isCurrent(unsigned number) const { return !m_finished && m_sending && number == m_sends; }
 
-    void onHead(const http_response_head &head)
+    void onHead(const http1_response_head &head)
     {
         m_head = head;
         m_facts = m_parts.wire.decodeAnswer(head);
@@ -452,7 +452,7 @@
         if (m_streaming)
             return;
         m_streaming = true;
-        http_response_head head = m_head;
+        http1_response_head head = m_head;
         removeConnectionFields(head);
         m_answer->begin(head);
     }
@@ -495,9 +495,9 @@
         deliver(wholeAnswer(), failure ? "upstream_failure" : "served");
     }
 
-    http_response wholeAnswer() const
+    http1_response wholeAnswer() const
     {
-        http_response response;
+        http1_response response;
         response.base() = m_head;
         removeConnectionFields(response);
         response.body() = m_body;
@@ -616,7 +616,7 @@
         finish(0, code);
     }
 
-    void deliver(http_response response, const char *outcome)
+    void deliver(http1_response response, const char *outcome)
     {
         const unsigned status = response.result_int();
         const auto answer = m_answer;
@@ -693,12 +693,12 @@
     bool m_streaming = false; ///< The client has got the head of its stream.
     bool m_numbered = true;   ///< Every event so far had an id.
     answer_mode m_mode = answer_mode::none;
-    http_response_head m_head;
+    http1_response_head m_head;
     answer_facts m_facts;
     std::string m_body;
     numbered_event_splitter m_splitter;
     std::optional<std::uint64_t> m_lastEvent;
-    std::optional<http_response> m_fallback; ///< An upstream's failure, if nothing better comes.
+    std::optional<http1_response> m_fallback; ///< An upstream's failure, if nothing better comes.
 };
 
 forwarder::forwarder(forwarder_parts parts)
@@ -708,7 +708,7 @@
 
 forwarder::~forwarder() = default;
 
-void forwarder::handle(http_request request, std::shared_ptr<http_answer> answer)
+void forwarder::handle(http1_request request, std::shared_ptr<http_answer> answer)
 {
     try {
         client_request decoded = m_parts.wire.decodeRequest(std::move(request));
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -45,7 +45,7 @@
     forwarder(const forwarder &) = delete;
     forwarder &operator=(const forwarder &) = delete;
 
-    void handle(http_request request, std::shared_ptr<http_answer> answer);
+    void handle(http1_request request, std::shared_ptr<http_answer> answer);
     /// The state has a new view: requests that came before the first one go on.
     void noteView();
     /// The process is to stop: from now on, only what can still be served is taken.
--- a/goldcrestdeck/http_message.cc
+++ b/goldcrestdeck/http_message.cc
@@ -92,14 +92,14 @@
         fields.erase(name);
 }
 
-std::string serializeHead(const http_response_head &head)
+std::string serializeHead(const http1_response_head &head)
 {
     std::ostringstream out;
     out << head;
     return out.str();
 }
 
-std::string serializeRequest(const http_request &request)
+std::string serializeRequest(const http1_request &request)
 {
     std::ostringstream out;
     out << request.base();
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -13,10 +13,10 @@
 namespace goldcrestdeck {
 
 using http_fields = boost::beast::http::fields;
-using http_request = boost::beast::http::request<boost::beast::http::string_body>;
-using http_response = boost::beast::http::response<boost::beast::http::string_body>;
+using http1_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http1_response = boost::beast::http::response<boost::beast::http::string_body>;
 /// Status line and header fields, without the body.
-using http_response_head = boost::beast::http::response_header<http_fields>;
+using http1_response_head = boost::beast::http::response_header<http_fields>;
 
 /// Whether the bytes of a request's head, up to and including the empty line, are free of the forms
 /// on which two parsers may disagree: bare line feeds or carriage returns, control bytes, folded
@@ -28,8 +28,8 @@
 void removeConnectionFields(http_fields &fields);
 
 /// The head of a message as bytes, the closing empty line included.
-std::string serializeHead(const http_response_head &head);
-std::string serializeRequest(const http_request &request);
+std::string serializeHead(const http1_response_head &head);
+std::string serializeRequest(const http1_request &request);
 
 /// One chunk of a chunked body; \a data must not be empty, since an empty chunk ends the body.
 std::string encodeChunk(const std::string &data);
--- a/goldcrestdeck/testing/process_cluster.cc
+++ b/goldcrestdeck/testing/process_cluster.cc
@@ -36,7 +36,8 @@
 
 } // namespace
 
-child_process::child_process(const std::vector<std::string> &arguments, const std::string &logFile)
+child_process::child_process(const std::vector<std::string> &arguments, const std::string &logFile,
+                             const std::string &outputFile)
 {
     std::vector<char *> raw;
     raw.reserve(arguments.size() + 1);
@@ -47,7 +48,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (posix_spawn(&m_pid, raw[0], &actions, nullptr, raw.data(), environ) != 0)
         throw std::runtime_error("cannot start " + arguments[0]);
     posix_spawn_file_actions_destroy(&actions);
--- a/goldcrestdeck/testing/process_cluster.h
+++ b/goldcrestdeck/testing/process_cluster.h
@@ -25,7 +25,9 @@
 class child_process
 {
 public:
-    child_process(const std::vector<std::string> &arguments, const std::string &logFile);
+    /// Standard error goes to \a logFile, standard output to \a outputFile.
+    child_process(const std::vector<std::string> &arguments, const std::string &logFile,
+                  const std::string &outputFile = "/dev/null");
     ~child_process();
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -69,7 +69,7 @@
     asio::write(m_socket, asio::buffer(bytes));
 }
 
-http_response byte_client::read()
+http1_response byte_client::read()
 {
     http::response_parser<http::string_body> parser;
     parser.eager(true);
@@ -155,7 +155,7 @@
     m_forwarder = std::make_unique<forwarder>(std::move(parts));
     m_server = std::make_unique<async_server>(
         m_io, anyPort(), client_limits(),
-        [this](http_request request, std::shared_ptr<http_answer> answer) {
+        [this](http1_request request, std::shared_ptr<http_answer> answer) {
             m_forwarder->handle(std::move(request), std::move(answer));
         });
     m_thread = std::thread([this] { m_io.run(); });
@@ -212,7 +212,7 @@
     });
 }
 
-http_response router_fixture::ask(const std::string &text)
+http1_response router_fixture::ask(const std::string &text)
 {
     byte_client client(m_server->address());
     client.send(text);
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -25,7 +25,7 @@
 
     void send(const std::string &bytes);
     /// The next whole answer. \throws boost::system::system_error if there is none, or a cut one.
-    http_response read();
+    http1_response read();
     /// Whether the server closes without a further byte.
     bool readsEnd();
     void close();
@@ -64,7 +64,7 @@
     void publish();
     void setBehaviour(const standins::runner_behaviour &behaviour);
     /// One request on a connection of its own.
-    http_response ask(const std::string &text);
+    http1_response ask(const std::string &text);
     int runsOf(const std::string &requestId);
     std::size_t requestsSeen();
     /// Polls until \a holds on the loop's thread, for a few seconds at most.
--- /dev/null
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -0,0 +1,422 @@
+// The router's daemon as processes, before stand-ins for the platform's store and its instances.
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <stdlib.h>
+
+#include "goldcrestdeck/json.h"
+#include "goldcrestdeck/testing/process_cluster.h"
+#include "goldcrestdeck/testing/router_harness.h"
+#include "standins/platform_store.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using standins::platform_runner;
+using standins::platform_store;
+using standins::runner_behaviour;
+using std::chrono::milliseconds;
+
+boost::asio::ip::tcp::endpoint loopback(int port)
+{
+    return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
+}
+
+std::string textOf(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    std::ostringstream out;
+    out << endpoint;
+    return out.str();
+}
+
+class router_process_fixture : public ::testing::Test
+{
+protected:
+    router_process_fixture()
+        : m_store(m_io, loopback(0))
+        , m_work(boost::asio::make_work_guard(m_io))
+    {
+        char name[] = "/tmp/goldcrest-router-XXXXXX";
+        m_folder = mkdtemp(name);
+        addRunner("plain", "p1", "v1");
+        addRunner("engine", "e1", "v1");
+        addRunner("engine", "e2", "v1");
+        putConfig(1, {"/once/", "/safe/"});
+        m_thread = std::thread([this] { m_io.run(); });
+        for (int i = 0; i < 2; ++i)
+            startHost(i);
+    }
+    ~router_process_fixture() override
+    {
+        m_hosts.clear();
+        onLoop([this] {
+            for (const auto &runner : m_runners)
+                runner->stop();
+        });
+        m_io.stop();
+        m_thread.join();
+    }
+
+    template<typename Work>
+    auto onLoop(Work work) -> decltype(work())
+    {
+        std::packaged_task<decltype(work())()> task(std::move(work));
+        auto result = task.get_future();
+        boost::asio::post(m_io, [&task] { task(); });
+        return result.get();
+    }
+
+    /// Only before the loop runs, or on it.
+    void addRunner(const std::string &service, const std::string &id, const std::string &version)
+    {
+        m_runners.push_back(std::make_unique<platform_runner>(m_io, loopback(0), id));
+        json_value row = json_value::object();
+        row.set("service", service);
+        row.set("address", textOf(m_runners.back()->address()));
+        row.set("zone", "z");
+        row.set("version", version);
+        row.set("slots", 8);
+        row.set("state", "ready");
+        m_store.put("servers/" + id, row.dump());
+    }
+
+    void putConfig(int version, const std::vector<std::string> &prefixes)
+    {
+        std::string routes;
+        for (const std::string &prefix : prefixes) {
+            routes.append(R"({"name": "r", "host": "a.example", "prefix": ")").append(prefix);
+            routes.append(
+                R"(", "service": "plain", "max-attempts": 2, "timeout-ms": 2000, "kind": ")");
+            routes.append(prefix == "/once/" ? "unsafe" : "safe").append("\"},");
+        }
+        routes += R"({"name": "s", "host": "a.example", "prefix": "/stream/", "service": "engine",
+                      "kind": "streaming", "resumable": true, "max-attempts": 3,
+                      "timeout-ms": 9000, "target-latency-ms": 1000, "target-gap-ms": 500})";
+        m_store.put("op/config",
+                    "{\"version\": " + std::to_string(version) + ", \"routes\": [" + routes
+                        + R"(], "services": [{"name": "plain"}, {"name": "engine"}],
+                             "tenants": [{"name": "w1", "api-keys": ["key-1"]}]})");
+    }
+
+    void startHost(int index)
+    {
+        const std::vector<int> ports = freePorts(4);
+        const std::string path = m_folder + "/settings-" + std::to_string(index) + ".json";
+        std::ofstream file(path);
+        file << R"({"node-name": "h)" << index << R"(", "zone": "z", "ip": "127.0.0.1",
+                 "listen": {"front": "127.0.0.1:)"
+             << ports[0] << R"(", "ready": "127.0.0.1:)" << ports[1] << R"("},
+                 "internal-ports": [)"
+             << ports[2] << ", " << ports[3] << R"(], "heartbeat-ms": 100000,
+                 "bounds": {"config-apply-ms": 800, "drain-ms": 800, "grace-s": 8},
+                 "platform": {"address": ")"
+             << textOf(m_store.address()) << "\"}}";
+        file.close();
+        host started;
+        started.clients = loopback(ports[0]);
+        started.ready = loopback(ports[1]);
+        started.metrics = loopback(ports[3]);
+        started.log = m_folder + "/h" + std::to_string(index) + ".log";
+        started.process = std::make_unique<child_process>(
+            std::vector<std::string>{std::string(BINARY_DIR) + "/goldcrest_routerd", "--settings",
+                                     path},
+            m_folder + "/errors.log", started.log);
+        if (m_hosts.size() <= static_cast<std::size_t>(index))
+            m_hosts.resize(index + 1);
+        m_hosts[index] = std::move(started);
+        ASSERT_TRUE(eventually([&] { return isReady(index); }));
+    }
+
+    bool isReady(int index)
+    {
+        try {
+            byte_client client(m_hosts[index].ready);
+            client.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            return client.read().result_int() == 200;
+        } catch (const boost::system::system_error &) {
+            return false; // Not listening yet.
+        }
+    }
+
+    http1_response ask(int index, const std::string &text)
+    {
+        byte_client client(m_hosts[index].clients);
+        client.send(text);
+        return client.read();
+    }
+
+    int runsOf(const std::string &id)
+    {
+        return onLoop([&] {
+            int runs = 0;
+            for (const auto &runner : m_runners) {
+                const auto found = runner->runs().find(id);
+                runs += found == runner->runs().end() ? 0 : found->second;
+            }
+            return runs;
+        });
+    }
+
+    std::string stored(const std::string &key)
+    {
+        return onLoop([&] { return m_store.value(key); });
+    }
+
+    struct host {
+        boost::asio::ip::tcp::endpoint clients;
+        boost::asio::ip::tcp::endpoint ready;
+        boost::asio::ip::tcp::endpoint metrics;
+        std::string log;
+        std::unique_ptr<child_process> process;
+    };
+
+    boost::asio::io_context m_io{1};
+    platform_store m_store;
+    std::vector<std::unique_ptr<platform_runner>> m_runners;
+    std::vector<host> m_hosts;
+    std::string m_folder;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+};
+
+std::string streamText(const std::string &id)
+{
+    return requestText("POST", "/stream/x", id, "X-Model: m\r\nSession: s" + id + "\r\n", "{}");
+}
+
+std::string eventsUpTo(int last)
+{
+    std::string text;
+    for (int i = 1; i <= last; ++i)
+        text += platform_runner::eventText(i);
+    return text;
+}
+
+TEST_F(router_process_fixture, every_kind_of_request_is_served_and_found_in_the_log_by_its_id)
+{
+    runner_behaviour stream;
+    stream.events = 10;
+    onLoop([&] {
+        m_runners[1]->setBehaviour(stream);
+        m_runners[2]->setBehaviour(stream);
+    });
+    for (int i = 0; i < 2; ++i) {
+        const std::string suffix = std::to_string(i);
+        EXPECT_EQ(platform_runner::bodyFor("safe" + suffix),
+                  ask(i, requestText("GET", "/safe/x", "safe" + suffix)).body());
+        EXPECT_EQ(200,
+                  ask(i, requestText("POST", "/once/x", "once" + suffix, "", "{}")).result_int());
+        EXPECT_EQ(eventsUpTo(10), ask(i, streamText("stream" + suffix)).body());
+        EXPECT_EQ(404, ask(i, requestText("GET", "/none/x", "none" + suffix)).result_int());
+    }
+    byte_client metrics(m_hosts[0].metrics);
+    metrics.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(std::string::npos, metrics.read().body().find("goldcrestdeck_router_answers_total"));
+    m_hosts[0].process->signal(SIGTERM);
+    EXPECT_EQ(0, m_hosts[0].process->wait());
+    std::ifstream file(m_hosts[0].log);
+    std::set<std::string> events;
+    std::set<std::string> requests;
+    for (std::string line; std::getline(file, line);) {
+        const json_value row = json_value::parse(line);
+        events.insert(row.string("event"));
+        requests.insert(row.string("request", ""));
+    }
+    for (const char *event : {"started", "store_read", "config_taken", "request_done", "stopping",
+                              "drained", "stopped"})
+        EXPECT_EQ(1U, events.count(event)) << event;
+    for (const char *request : {"safe0", "once0", "stream0", "none0"})
+        EXPECT_EQ(1U, requests.count(request)) << request;
+}
+
+TEST_F(router_process_fixture, new_configuration_is_in_force_and_an_older_one_is_ignored)
+{
+    onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_TRUE(eventually(
+            [&] { return ask(i, requestText("GET", "/safe/x", "a")).result_int() == 404; }));
+        EXPECT_EQ(200, ask(i, requestText("GET", "/new/x", "b")).result_int());
+    }
+    onLoop([&] { putConfig(4, {"/once/", "/safe/"}); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    EXPECT_EQ(404, ask(0, requestText("GET", "/safe/x", "c")).result_int());
+}
+
+TEST_F(router_process_fixture, outage_of_the_store_leaves_known_routes_served)
+{
+    standins::store_faults away;
+    away.reset = true;
+    onLoop([&] { m_store.setFaults(away); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    EXPECT_EQ(200, ask(0, requestText("GET", "/safe/x", "a")).result_int());
+    EXPECT_EQ(503, ask(0, requestText("GET", "/none/x", "b")).result_int());
+    onLoop([&] { m_store.setFaults({}); });
+    EXPECT_TRUE(
+        eventually([&] { return ask(0, requestText("GET", "/none/x", "c")).result_int() == 404; }));
+}
+
+TEST_F(router_process_fixture, lost_history_of_the_store_is_read_anew)
+{
+    onLoop([&] {
+        putConfig(5, {"/once/", "/new/"});
+        m_store.compact();
+    });
+    EXPECT_TRUE(
+        eventually([&] { return ask(1, requestText("GET", "/new/x", "a")).result_int() == 200; }));
+}
+
+TEST_F(router_process_fixture, leaving_instance_gets_nothing_new)
+{
+    onLoop([&] { addRunner("plain", "p2", "v1"); });
+    ASSERT_TRUE(eventually([&] {
+        ask(0, requestText("GET", "/safe/x", "a"));
+        return onLoop([&] { return !m_runners.back()->requests().empty(); });
+    }));
+    onLoop([&] { m_store.remove("servers/p1"); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    const std::size_t before = onLoop([&] { return m_runners[0]->requests().size(); });
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(200, ask(i % 2, requestText("GET", "/safe/x", "b")).result_int());
+    EXPECT_EQ(before, onLoop([&] { return m_runners[0]->requests().size(); }));
+}
+
+TEST_F(router_process_fixture, stop_under_load_cuts_nothing_and_runs_nothing_twice)
+{
+    runner_behaviour stream;
+    stream.events = 40;
+    stream.gap = milliseconds(10);
+    onLoop([&] {
+        m_runners[1]->setBehaviour(stream);
+        m_runners[2]->setBehaviour(stream);
+    });
+    std::atomic<bool> stopping{false};
+    std::atomic<int> served{0};
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> clients;
+    clients.reserve(4);
+    for (int c = 0; c < 4; ++c) {
+        clients.emplace_back([&, c] {
+            for (int i = 0; !stopping; ++i) {
+                const std::string id = std::to_string(c) + '-' + std::to_string(i);
+                try {
+                    const bool isStream = c % 2 == 0;
+                    const http1_response answer = ask(
+                        0,
+                        isStream ? streamText(id) : requestText("POST", "/once/x", id, "", "{}"));
+                    if (answer.result_int() != 200)
+                        stopping = true;
+                    else if (isStream && answer.body() != eventsUpTo(40))
+                        ++wrong;
+                    else
+                        ++served;
+                } catch (const boost::system::system_error &) {
+                    // A connection may be closed as its request crosses; that was not passed on.
+                    wrong += runsOf(id) > 0 ? 1 : 0;
+                    stopping = true;
+                }
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    m_hosts[0].process->signal(SIGTERM);
+    EXPECT_TRUE(eventually([&] { return !isReady(0); }));
+    EXPECT_EQ(0, m_hosts[0].process->wait());
+    stopping = true;
+    for (std::thread &client : clients)
+        client.join();
+    EXPECT_EQ(0, wrong);
+    EXPECT_GT(served, 10);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_LE(runsOf("1-" + std::to_string(i)), 1);
+}
+
+TEST_F(router_process_fixture, killed_host_serves_again_after_its_start)
+{
+    m_hosts[0].process->signal(SIGKILL);
+    m_hosts[0].process->wait();
+    startHost(0);
+    EXPECT_EQ(200, ask(0, requestText("GET", "/safe/x", "a")).result_int());
+}
+
+/// Orders v2 of the engine and plays requests until the roll-out is decided.
+class router_rollout_fixture : public router_process_fixture
+{
+protected:
+    std::string play(bool bad)
+    {
+        runner_behaviour good;
+        good.events = 3;
+        runner_behaviour failing;
+        failing.status = 500;
+        onLoop([&] {
+            m_runners[1]->setBehaviour(good);
+            m_runners[2]->setBehaviour(good);
+            m_store.put("op/rollout/engine",
+                        R"({"service": "engine", "target": "v2", "duration-s": 8})");
+            addRunner("engine", "e3", "v2");
+            addRunner("engine", "e4", "v2");
+            m_runners[3]->setBehaviour(bad ? failing : good);
+            m_runners[4]->setBehaviour(bad ? failing : good);
+        });
+        const auto started = std::chrono::steady_clock::now();
+        int number = 0;
+        while (std::chrono::steady_clock::now() - started < std::chrono::seconds(10)) {
+            EXPECT_EQ(200, ask(number % 2, streamText("r" + std::to_string(number))).result_int());
+            ++number;
+            std::this_thread::sleep_for(milliseconds(4));
+            const std::string status = stored("status/rollout/engine");
+            if (!status.empty() && json_value::parse(status).string("state") != "running")
+                break;
+        }
+        m_asked = number;
+        return json_value::parse(stored("status/rollout/engine")).string("state");
+    }
+
+    double candidateRequests()
+    {
+        return onLoop([&] {
+            return static_cast<double>(m_runners[3]->requests().size()
+                                       + m_runners[4]->requests().size());
+        });
+    }
+
+    int m_asked = 0;
+};
+
+TEST_F(router_rollout_fixture, good_version_is_completed)
+{
+    EXPECT_EQ("completed", play(false));
+    const double before = candidateRequests();
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(200, ask(i % 2, streamText("after" + std::to_string(i))).result_int());
+    EXPECT_EQ(before + 20, candidateRequests());
+}
+
+TEST_F(router_rollout_fixture, bad_version_is_rolled_back_and_no_client_sees_it)
+{
+    EXPECT_EQ("rolled_back", play(true));
+    std::this_thread::sleep_for(milliseconds(800));
+    const double before = candidateRequests();
+    EXPECT_LE(before, 0.15 * m_asked + 30);
+    for (int i = 0; i < 40; ++i)
+        EXPECT_EQ(200, ask(i % 2, streamText("after" + std::to_string(i))).result_int());
+    EXPECT_EQ(before, candidateRequests());
+}
+
+TEST(router_settings, check_names_what_is_wrong)
+{
+    const std::string path = "/tmp/goldcrest-router-bad.json";
+    std::ofstream(path) << R"({"node-name": "x"})";
+    child_process checked(
+        {std::string(BINARY_DIR) + "/goldcrest_routerd", "--check", "--settings", path},
+        "/tmp/goldcrest-router-bad.log");
+    EXPECT_EQ(3, checked.wait());
+}
+
+} // namespace
+} // namespace goldcrestdeck
--- a/goldcrestdeck/wire_format.h
+++ b/goldcrestdeck/wire_format.h
@@ -40,7 +40,7 @@
     std::uint64_t maxOutputTokens = 0;
     std::optional<std::uint64_t> outputHint; ///< The client's guess of the output tokens.
     std::vector<prompt_part> prompt;         ///< In order.
-    http_request message;                    ///< As it came.
+    http1_request message;                   ///< As it came.
 };
 
 /// What one send to an instance adds to the client's request.
@@ -64,9 +64,9 @@
 
 struct wire_format {
     /// \throws request_error
-    std::function<client_request(http_request)> decodeRequest;
-    std::function<http_request(const client_request &, const send_order &)> encodeRequest;
-    std::function<answer_facts(const http_response_head &)> decodeAnswer;
+    std::function<client_request(http1_request)> decodeRequest;
+    std::function<http1_request(const client_request &, const send_order &)> encodeRequest;
+    std::function<answer_facts(const http1_response_head &)> decodeAnswer;
 };
 
 } // namespace goldcrestdeck
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -51,9 +51,9 @@
     return status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec;
 }
 
-http_response textResponse(http::status status, const std::string &body)
+http1_response textResponse(http::status status, const std::string &body)
 {
-    http_response response(status, 11);
+    http1_response response(status, 11);
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     response.body() = body;
     return response;
@@ -81,15 +81,15 @@
                   askSessions(order, std::move(done));
               })
         , m_clients(m_traffic, parseEndpoint(m_settings.clientAddress), client_limits(),
-                    [this](http_request request, std::shared_ptr<http_answer> answer) {
+                    [this](http1_request request, std::shared_ptr<http_answer> answer) {
                         m_forwarder.handle(std::move(request), std::move(answer));
                     })
         , m_ready(m_control, parseEndpoint(m_settings.readyAddress), client_limits(),
-                  [this](const http_request &, const std::shared_ptr<http_answer> &answer) {
+                  [this](const http1_request &, const std::shared_ptr<http_answer> &answer) {
                       answerReady(*answer);
                   })
         , m_metrics(m_control, parseEndpoint(m_settings.metricsAddress), client_limits(),
-                    [this](const http_request &, const std::shared_ptr<http_answer> &answer) {
+                    [this](const http1_request &, const std::shared_ptr<http_answer> &answer) {
                         answer->send(textResponse(http::status::ok, m_counters.serialize()));
                     })
         , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
@@ -228,6 +228,7 @@
     {
         const duration passed = m_clock.now() - m_drainTimes.started;
         if (passed >= m_drainTimes.balancerLag) {
+            m_clients.stopAccepting();
             m_clients.closeIdle();
             if (m_forwarder.inProgress() == 0 && m_clients.openConnections() == 0) {
                 finish("idle");
--- a/standins/platform_runner.cc
+++ b/standins/platform_runner.cc
@@ -5,7 +5,7 @@
 namespace standins {
 
 using goldcrestdeck::encodeChunk;
-using goldcrestdeck::http_request;
+using goldcrestdeck::http1_request;
 
 namespace {
 
@@ -29,7 +29,7 @@
     : m_id(std::move(id))
     , m_server(
           io, address,
-          [this](const http_request &request, const std::shared_ptr<raw_connection> &connection) {
+          [this](const http1_request &request, const std::shared_ptr<raw_connection> &connection) {
               handle(request, connection);
           })
 { }
@@ -44,7 +44,7 @@
     return "id: " + std::to_string(number) + "\ndata: event " + std::to_string(number) + "\n\n";
 }
 
-void platform_runner::handle(const http_request &request,
+void platform_runner::handle(const http1_request &request,
                              const std::shared_ptr<raw_connection> &connection)
 {
     const runner_behaviour behaviour = m_behaviour;
@@ -73,7 +73,7 @@
     connection->after(behaviour.delay, [=] { answer(request, connection, behaviour); });
 }
 
-void platform_runner::answer(const http_request &request,
+void platform_runner::answer(const http1_request &request,
                              const std::shared_ptr<raw_connection> &connection,
                              const runner_behaviour &behaviour)
 {
--- a/standins/platform_runner.h
+++ b/standins/platform_runner.h
@@ -48,7 +48,7 @@
 
     /// How often each request, by its id, was run.
     const std::map<std::string, int> &runs() const { return m_runs; }
-    const std::vector<goldcrestdeck::http_request> &requests() const { return m_requests; }
+    const std::vector<goldcrestdeck::http1_request> &requests() const { return m_requests; }
     std::size_t connections() const { return m_server.accepted(); }
     /// Streams whose client left before their end.
     int abandoned() const { return m_abandoned; }
@@ -59,9 +59,9 @@
     static std::string eventText(int number);
 
 private:
-    void handle(const goldcrestdeck::http_request &request,
+    void handle(const goldcrestdeck::http1_request &request,
                 const std::shared_ptr<raw_connection> &connection);
-    void answer(const goldcrestdeck::http_request &request,
+    void answer(const goldcrestdeck::http1_request &request,
                 const std::shared_ptr<raw_connection> &connection,
                 const runner_behaviour &behaviour);
     void stream(const std::shared_ptr<raw_connection> &connection,
@@ -70,7 +70,7 @@
     std::string m_id;
     runner_behaviour m_behaviour;
     std::map<std::string, int> m_runs;
-    std::vector<goldcrestdeck::http_request> m_requests;
+    std::vector<goldcrestdeck::http1_request> m_requests;
     int m_abandoned = 0;
     raw_server m_server;
 };
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -54,7 +54,7 @@
         std::string body;
     };
 
-    void handle(const goldcrestdeck::http_request &request,
+    void handle(const goldcrestdeck::http1_request &request,
                 const std::shared_ptr<raw_connection> &connection);
     reply range(const std::map<std::string, std::string> &query) const;
     reply watch(const std::map<std::string, std::string> &query) const;
--- a/standins/raw_server.h
+++ b/standins/raw_server.h
@@ -21,7 +21,7 @@
 class raw_connection : public std::enable_shared_from_this<raw_connection>
 {
 public:
-    using handler = std::function<void(const goldcrestdeck::http_request &,
+    using handler = std::function<void(const goldcrestdeck::http1_request &,
                                        const std::shared_ptr<raw_connection> &)>;
 
     raw_connection(boost::asio::ip::tcp::socket socket, handler handle);
