Half as many polls as the bounds allow

Change: a poll every 0.5 of the time in which a configuration must be in force (was 0.35); freshness before a 404 and the delay of the canary follow from it. One function makes the parameters of a roll-out.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -22,10 +22,6 @@
 
 namespace {
 
-/// A view confirmed within this time is fresh enough to say that a route or key does not exist: a
-/// little more than the pause between two polls, and less than half the time in which a
-/// configuration must be in force.
-constexpr std::chrono::milliseconds freshTime{850};
 /// How long a request waits for the first configuration after a start; reading it takes some tens
 /// of milliseconds while the key-value service answers.
 constexpr std::chrono::milliseconds startWait{500};
@@ -143,7 +139,7 @@
             accept();
             return;
         }
-        if (confirmed || now() - m_state.confirmedAt() < freshTime) {
+        if (confirmed || m_state.isFresh(now())) {
             if (keyMissing)
                 refuse(http::status::unauthorized, "unknown_key", std::nullopt);
             else
--- a/goldcrestdeck/router_settings.h
+++ b/goldcrestdeck/router_settings.h
@@ -4,12 +4,18 @@
 /// \file
 /// The settings of the router daemon, whatever file they were read from.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
 
 namespace goldcrestdeck {
 
+/// Part of the time in which a configuration must be in force, and a leaving instance be left
+/// alone, between two polls of the store: one may be missed, with its time-out, and the next is
+/// still in time.
+constexpr double pollPart = 0.5;
+
 struct router_settings {
     std::string name; ///< Of this host.
     std::string failureDomain;
@@ -29,6 +35,13 @@
     std::chrono::milliseconds retryWindow{10'000};
     double exposureShare = 0.15; ///< Bound on a bad version's share of a service's requests.
     double exposureSlack = 30;   ///< Requests beyond it.
+
+    /// Between two polls of the store.
+    std::chrono::milliseconds pollInterval() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            pollPart * std::min(applyTime, drainTime));
+    }
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -16,9 +16,6 @@
 
 namespace {
 
-/// Part of the time in which a configuration must be in force, and a leaving instance be left
-/// alone, between two polls: one may be missed, with its time-out, and the next is still in time.
-constexpr double pollPart = 0.35;
 /// Before the next call when the service did not answer.
 constexpr std::chrono::milliseconds retryPause{250};
 /// A feed that is silent for this many heartbeats of the instances is not trusted.
@@ -37,14 +34,6 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-rollout_parameters rolloutParameters(const router_settings &settings)
-{
-    rollout_parameters result;
-    result.exposureShare = settings.exposureShare;
-    result.exposureSlack = settings.exposureSlack;
-    return result;
-}
-
 } // namespace
 
 store_follower::store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
@@ -102,12 +91,6 @@
         moveRollouts();
 }
 
-std::chrono::milliseconds store_follower::pollInterval() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        pollPart * std::min(m_settings.applyTime, m_settings.drainTime));
-}
-
 void store_follower::schedule(std::chrono::milliseconds wait)
 {
     if (m_stopped)
@@ -286,7 +269,7 @@
     if (!m_confirms.empty())
         poll();
     else
-        schedule(pollInterval());
+        schedule(m_settings.pollInterval());
 }
 
 void store_follower::apply(const kv_item &item)
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -71,7 +71,6 @@
         time_point sentAt;
     };
 
-    std::chrono::milliseconds pollInterval() const;
     void schedule(std::chrono::milliseconds wait);
     void poll();
     void readAll();
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -151,9 +151,7 @@
     const auto rollout = m_view->rollouts.find(request.service);
     if (rollout == m_view->rollouts.end())
         return;
-    rollout_parameters parameters;
-    parameters.exposureShare = m_settings.exposureShare;
-    parameters.exposureSlack = m_settings.exposureSlack;
+    const rollout_parameters parameters = rolloutParameters(m_settings);
     const std::uint64_t order = rollout->second.order.revision;
     auto meter = m_meters.find(request.service);
     if (meter == m_meters.end() || meter->second.first != order)
@@ -271,8 +269,8 @@
 std::vector<std::uint64_t> traffic_state::establishedSessions(const rollout_order &order,
                                                               time_point now) const
 {
-    rollout_parameters parameters;
-    const double share = m_settings.exposureShare * parameters.canaryPart;
+    const rollout_parameters parameters = rolloutParameters(m_settings);
+    const double share = parameters.exposureShare * parameters.canaryPart;
     std::vector<std::uint64_t> digests;
     for (const auto &known : m_sessions) {
         if (known.first.first == order.service && isRecent(known.second, now)
@@ -343,8 +341,7 @@
         || meter->second.second.mayExpose();
     const bool mayExpose
         = heard && !request.avoidCandidate && (stage != rollout_stage::canary || within);
-    rollout_parameters parameters;
-    parameters.exposureShare = m_settings.exposureShare;
+    const rollout_parameters parameters = rolloutParameters(m_settings);
     const double share
         = sessionShare(stage, rollout.elapsed(now), rollout.order.duration, parameters);
     const double position
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -52,6 +52,9 @@
     abandoned    ///< The router or the client gave up.
 };
 
+/// Polls within which a view counts as fresh.
+constexpr double freshFactor = 1.2;
+
 class traffic_state
 {
 public:
@@ -63,6 +66,12 @@
     /// When the newest call was sent whose answer confirmed the view.
     void setConfirmed(time_point at) { m_confirmedAt = at; }
     time_point confirmedAt() const { return m_confirmedAt; }
+    /// Whether the view is fresh enough to say that a route or a key does not exist: it was
+    /// confirmed within a little more than the pause between two polls.
+    bool isFresh(time_point now) const
+    {
+        return now - m_confirmedAt < m_settings.pollInterval() * freshFactor;
+    }
 
     std::optional<chosen_instance> choose(const placement_request &request, time_point now);
     void noteSent(const placement_request &request, const chosen_instance &chosen, time_point now);
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -27,6 +27,9 @@
 /// Answers that the prior on the other version's share is worth.
 constexpr double priorAnswers = 20;
 
+/// Beyond the polls that the session lists take, before the canary begins.
+constexpr std::chrono::milliseconds canaryReserve{200};
+
 constexpr std::array<rollout_stage, 5> stages
     = {rollout_stage::canary, rollout_stage::ramp, rollout_stage::full, rollout_stage::completed,
        rollout_stage::rolledBack};
@@ -96,6 +99,17 @@
     return record;
 }
 
+rollout_parameters rolloutParameters(const router_settings &settings)
+{
+    rollout_parameters result;
+    result.exposureShare = settings.exposureShare;
+    result.exposureSlack = settings.exposureSlack;
+    // A host tells its sessions at the first poll after sessionsAfter; the others read them at
+    // their next one.
+    result.canaryDelay = result.sessionsAfter + 2 * settings.pollInterval() + canaryReserve;
+    return result;
+}
+
 double sessionShare(rollout_stage stage, duration elapsed, duration whole,
                     const rollout_parameters &parameters)
 {
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "goldcrestdeck/clock.h"
+#include "goldcrestdeck/router_settings.h"
 
 namespace goldcrestdeck {
 
@@ -81,6 +82,8 @@
     double spreadPart = 0.12;
 };
 
+rollout_parameters rolloutParameters(const router_settings &settings);
+
 /// Part of the sessions that a stage sends to the new version, \a elapsed after the order.
 double sessionShare(rollout_stage stage, duration elapsed, duration whole,
                     const rollout_parameters &parameters);
