An instance that leaves after an outage of the store is gone at once

Host b-1 read at 25.43 that an instance was gone and sent to it at 27.55. With a poll a second, one missed poll counted as an outage (1.5 s), and for 2.2 s after an outage every missing entry was kept, also those that left after it. Change: only what went during the outage is kept; an outage is two heartbeats without contact. After a conflict a host waits for the next poll before it writes a record again. Test first: entry_removed_after_an_outage_is_gone_at_once.

--- a/goldcrestdeck/instance_directory.h
+++ b/goldcrestdeck/instance_directory.h
@@ -44,7 +44,10 @@
 
     void replaceAll(const std::vector<instance> &entries, time_point now);
     void put(const instance &entry);
-    void remove(const std::string &id, time_point now);
+    /// The instance has left.
+    void remove(const std::string &id);
+    /// The entry went during an outage: it may have left, or only have been unable to register.
+    void lapse(const std::string &id, time_point now);
     /// The registry answers again after an outage.
     void noteRegained(time_point now);
     /// Drops what has been missing for too long. \returns whether anything was dropped.
--- a/goldcrestdeck/rollout_member.cc
+++ b/goldcrestdeck/rollout_member.cc
@@ -13,6 +13,9 @@
 /// After which another host's tally counts no more.
 constexpr std::chrono::milliseconds tallyLifetime{6000};
 
+/// After a conflict, for the other host's record to be read.
+constexpr std::chrono::milliseconds conflictPause{1200};
+
 void decay(version_tally &tally, double factor)
 {
     for (auto &entry : tally.byRoute) {
@@ -102,9 +105,12 @@
     }
 }
 
-void rollout_member::noteWriteEnded(const std::string &service)
+void rollout_member::noteWriteEnded(const std::string &service, bool conflict, time_point now)
 {
-    m_own[service].writing = false;
+    own_part &own = m_own[service];
+    own.writing = false;
+    if (conflict)
+        own.writesFrom = now + conflictPause;
 }
 
 rollout_actions
@@ -126,7 +132,7 @@
     const bool hasRecord
         = known != m_records.end() && known->second.record.orderRevision == order.revision;
     if (!hasRecord) {
-        if (own.writing)
+        if (own.writing || now < own.writesFrom)
             return;
         own.writing = true;
         const std::uint64_t expected = known == m_records.end() ? 0 : known->second.revision;
@@ -156,7 +162,7 @@
     belief.instances = instances;
     belief.patience = sessionPosition(order.service, order.target, m_host);
     const auto next = nextRecord(current.record, order, belief, m_parameters);
-    if (next && !own.writing) {
+    if (next && !own.writing && now >= own.writesFrom) {
         own.writing = true;
         actions.records.push_back({order, current.revision, *next,
                                    own.judgedBad                             ? "judged_bad"
--- a/goldcrestdeck/rollout_member.h
+++ b/goldcrestdeck/rollout_member.h
@@ -68,7 +68,8 @@
                       std::uint64_t orderRevision, const std::vector<std::uint64_t> &digests);
 
     void noteAnswer(const rollout_answer &answer, time_point now);
-    void noteWriteEnded(const std::string &service);
+    /// \a conflict: another host was first; its record will be read at the next poll.
+    void noteWriteEnded(const std::string &service, bool conflict, time_point now);
 
     /// \a instancesOf gives the number of usable instances of an order's target.
     rollout_actions advance(time_point now,
@@ -103,7 +104,8 @@
         time_point toldAt;
         bool judgedBad = false;
         bool writing = false;
-        int sessionLists = 0; ///< How often this host has told its sessions.
+        time_point writesFrom; ///< Nothing is written before, after a conflict.
+        int sessionLists = 0;  ///< How often this host has told its sessions.
     };
     using host_key = std::pair<std::string, std::string>; ///< Service and host.
 
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -22,8 +22,9 @@
 constexpr int silentHeartbeats = 2;
 /// Within which entries that lapsed in an outage are written anew; the platform's figure is 2 s.
 constexpr std::chrono::milliseconds rejoinTime{2200};
-/// Missed contact for so long is an outage in which entries may have lapsed.
-constexpr std::chrono::milliseconds outageTime{1500};
+/// Heartbeats of the instances without contact that make an outage in which entries may have
+/// lapsed; they lapse after three.
+constexpr int outageHeartbeats = 2;
 /// Names of this system's own keys, behind its prefix.
 constexpr const char *recordName = "rollout/";
 constexpr const char *tallyName = "tally/";
@@ -229,7 +230,8 @@
         m_reachable = true;
         logEvent(log_level::info, "store_regained", {});
     }
-    if (now - m_lastContact > outageTime)
+    m_regained = now - m_lastContact > outageHeartbeats * m_settings.heartbeat;
+    if (m_regained)
         m_instances.noteRegained(now);
     m_lastContact = now;
     m_onConfirmed(sentAt);
@@ -301,7 +303,10 @@
 {
     if (startsWith(key, m_layout.instancePrefix)) {
         const std::string id = key.substr(m_layout.instancePrefix.size());
-        m_instances.remove(id, m_clock.now());
+        if (m_regained)
+            m_instances.lapse(id, m_clock.now());
+        else
+            m_instances.remove(id);
         m_dirty = true;
         logEvent(log_level::info, "instance_gone", {{"instance", id}});
     } else if (startsWith(key, m_layout.orderPrefix)) {
@@ -334,7 +339,7 @@
         entry = m_layout.decodeInstance(item.key, item.value);
     } catch (const json_error &) {
         // Bytes that cannot be read name no instance, whatever stood there before.
-        m_instances.remove(item.key.substr(m_layout.instancePrefix.size()), m_clock.now());
+        m_instances.remove(item.key.substr(m_layout.instancePrefix.size()));
         m_dirty = true;
         throw;
     }
@@ -440,7 +445,7 @@
               {"reason", write.reason}});
     m_store.transact(transaction, [this, key, write](const kv_transaction_result &result) {
         const std::string &service = write.order.service;
-        m_rollouts.noteWriteEnded(service);
+        m_rollouts.noteWriteEnded(service, result.outcome == kv_outcome::conflict, m_clock.now());
         if (result.outcome == kv_outcome::done) {
             applyOwn({key, encodeRecord(write.record), result.revision});
             publish();
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -111,6 +111,7 @@
     bool m_polling = false;
     bool m_readEverything = false; ///< A whole read has succeeded and the feed follows it.
     bool m_reachable = true;
+    bool m_regained = false; ///< The present answer is the first one after an outage.
     bool m_dirty = false;
     std::uint64_t m_revision = 0;
     time_point m_lastContact;
--- a/goldcrestdeck/testing/rollout_model_test.cc
+++ b/goldcrestdeck/testing/rollout_model_test.cc
@@ -183,9 +183,8 @@
         const bool reached = now >= host.cutUntil;
         for (const record_write &write : actions.records) {
             // A cut-off host's write never arrives; some answers are lost.
-            if (reached)
-                m_store.write(write);
-            host.member.noteWriteEnded("engine");
+            const bool conflict = reached && !m_store.write(write);
+            host.member.noteWriteEnded("engine", conflict, now);
         }
         for (const auto &tally : actions.tallies) {
             if (reached)
--- a/goldcrestdeck/testing/router_core_test.cc
+++ b/goldcrestdeck/testing/router_core_test.cc
@@ -87,7 +87,7 @@
     directory.replaceAll({makeInstance("a"), makeInstance("b")}, time.now());
     directory.replaceAll({makeInstance("b")}, time.now());
     EXPECT_EQ(1U, directory.list().size());
-    directory.remove("b", time.now());
+    directory.remove("b");
     EXPECT_TRUE(directory.list().empty());
 }
 
@@ -109,6 +109,19 @@
     EXPECT_EQ("a", directory.list()[0].id);
 }
 
+TEST(instance_directory, entry_removed_after_an_outage_is_gone_at_once)
+{
+    manual_clock time;
+    instance_directory directory(seconds(2));
+    directory.replaceAll({makeInstance("lapsed"), makeInstance("left")}, time.now());
+    directory.noteRegained(time.now());
+    directory.lapse("lapsed", time.now());
+    time.advance(milliseconds(500));
+    directory.remove("left");
+    ASSERT_EQ(1U, directory.list().size());
+    EXPECT_EQ("lapsed", directory.list()[0].id);
+}
+
 RC_GTEST_PROP(numbered_events, chunking_does_not_change_the_events, ())
 {
     const int count = *rc::gen::inRange(0, 8);
