A registration with an address that cannot be read names no instance

Cause: found by reading: decodeInstance took any text as an address; the forwarder then chose that instance, which had nothing in flight, and refused the request though others were there.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -74,15 +74,6 @@
     return response;
 }
 
-std::optional<boost::asio::ip::tcp::endpoint> endpointOf(const std::string &address)
-{
-    try {
-        return parseEndpoint(address);
-    } catch (const peer_error &) {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 class forwarder::job : public std::enable_shared_from_this<forwarder::job>
@@ -276,11 +267,11 @@
         const time_point time = now();
         const placement_request wanted = placementRequest();
         const auto chosen = m_state.choose(wanted, time);
-        const auto endpoint = chosen ? endpointOf(chosen->target.address) : std::nullopt;
-        if (!chosen || !endpoint) {
+        if (!chosen) {
             finishUnserved("no_instance");
             return;
         }
+        const boost::asio::ip::tcp::endpoint endpoint = parseEndpoint(chosen->target.address);
         m_chosen = *chosen;
         m_tried.insert(chosen->target.incarnation());
         if (m_sends > 0) {
@@ -298,7 +289,7 @@
         m_body.clear();
         m_splitter.forgetPartial();
         setTimer();
-        call(*endpoint);
+        call(endpoint);
     }
 
     void call(const boost::asio::ip::tcp::endpoint &endpoint)
--- a/goldcrestdeck/instance_directory.h
+++ b/goldcrestdeck/instance_directory.h
@@ -24,7 +24,7 @@
     std::string id;
     std::uint64_t bornMs = 0; ///< Civil time of its start; with the id it names one incarnation.
     std::string service;
-    std::string address; ///< "ip:port"
+    std::string address; ///< "ip:port", checked by the decoder.
     std::string failureDomain;
     std::string version; ///< Of its software or weights.
     unsigned slots = 1;  ///< Requests that it works on at once.
