A workspace has its rate before requests are routed by a table

Cause: a host that had just installed its first configuration was ready, but the rates of workspaces were set only by the next exchange, up to 100 ms later. Change: config_sync announces a configuration before it is routed by, and limit_exchange::follow gives each workspace its rate then; tick keeps demand and leases. The log line of a new configuration says how many previous voters it has. Ruled out: the share of the limit (reserved 1,667/s a host, the test sends under 600/s in all).

--- a/goldcrestdeck/config_sync.cc
+++ b/goldcrestdeck/config_sync.cc
@@ -56,11 +56,13 @@
 }
 
 config_sync::config_sync(control_context &control, host_entry self, std::uint64_t instance,
-                         membership &members, traffic_view &view)
+                         membership &members, traffic_view &view,
+                         std::function<void(const config &)> onInstalling)
     : m_control(control)
     , m_self(std::move(self))
     , m_members(members)
     , m_view(view)
+    , m_onInstalling(std::move(onInstalling))
     , m_guard(m_self.name, guardLimits, control.time.now(), instance)
     , m_startedAt(control.time.now())
 { }
@@ -179,6 +181,7 @@
 {
     if (!m_guard.install(revision, value))
         return;
+    m_onInstalling(*value);
     // The routing table goes first: this host counts as having the revision in force from here on.
     m_view.setRouting(std::make_shared<routing_table>(revision, value));
     m_control.counters.revisionInForce.Set(static_cast<double>(revision));
@@ -189,7 +192,8 @@
     logEvent(log_level::info, "configuration_in_force",
              {{"revision", std::to_string(revision)},
               {"rows", std::to_string(value->rows.size())},
-              {"voters", std::to_string(value->voters.size())}});
+              {"voters", std::to_string(value->voters.size())},
+              {"previous_voters", std::to_string(value->previousVoters.size())}});
     updateAdmission();
 }
 
--- a/goldcrestdeck/config_sync.h
+++ b/goldcrestdeck/config_sync.h
@@ -43,9 +43,11 @@
 class config_sync
 {
 public:
-    /// \a instance is unique to this process.
+    /// \a instance is unique to this process. \a onInstalling is called with each configuration
+    /// just before requests are routed by it.
     config_sync(control_context &control, host_entry self, std::uint64_t instance,
-                membership &members, traffic_view &view);
+                membership &members, traffic_view &view,
+                std::function<void(const config &)> onInstalling);
 
     /// Called a few times a second.
     void tick();
@@ -100,6 +102,7 @@
     host_entry m_self;
     membership &m_members;
     traffic_view &m_view;
+    std::function<void(const config &)> m_onInstalling;
     revision_guard m_guard;
     time_point m_startedAt;
     time_point m_readAt;
--- a/goldcrestdeck/exchange.cc
+++ b/goldcrestdeck/exchange.cc
@@ -93,28 +93,37 @@
     , m_view(view)
 { }
 
-void limit_exchange::tick(const config &current, const std::vector<host_entry> &live)
+void limit_exchange::follow(const config &current)
 {
     const time_point now = m_time.now();
     m_voters = current.voters.size();
-    m_seesMajority = live.size() * 2 > m_voters;
-    for (const workspace_rate &demand : m_view.limits().takeDemand(now))
-        m_demand[demand.workspace] = demand.perSecond * demandHeadroom;
     const std::map<std::string, double> before = std::exchange(m_limits, {});
     for (const table_row &row : current.rows)
         m_limits[row.workspace] = row.requestsPerSecond;
-    chooseAllocators(live);
     for (const auto &[workspace, limit] : m_limits) {
-        const bool isNew = m_started && before.count(workspace) == 0;
-        if (isNew)
+        if (m_started && before.count(workspace) == 0) {
+            m_newWorkspaces.insert(workspace);
             m_leases[workspace]
                 = {initialRate(limit, m_voters, m_parameters), now + m_parameters.initialTime};
-        keepAllocator(workspace, isNew, namesOf(current.voters));
+        }
         applyRate(workspace);
     }
     m_started = true;
 }
 
+void limit_exchange::tick(const config &current, const std::vector<host_entry> &live)
+{
+    m_seesMajority = live.size() * 2 > m_voters;
+    for (const workspace_rate &demand : m_view.limits().takeDemand(m_time.now()))
+        m_demand[demand.workspace] = demand.perSecond * demandHeadroom;
+    chooseAllocators(live);
+    for (const auto &[workspace, limit] : m_limits) {
+        keepAllocator(workspace, namesOf(current.voters));
+        applyRate(workspace);
+    }
+    m_newWorkspaces.clear();
+}
+
 void limit_exchange::chooseAllocators(const std::vector<host_entry> &live)
 {
     std::vector<std::string> names;
@@ -127,8 +136,7 @@
             m_allocatorOf[workspace] = *findHost(live, name);
 }
 
-void limit_exchange::keepAllocator(const std::string &workspace, bool isNew,
-                                   const host_names &voters)
+void limit_exchange::keepAllocator(const std::string &workspace, const host_names &voters)
 {
     const time_point now = m_time.now();
     const double limit = m_limits[workspace];
@@ -140,7 +148,7 @@
     }
     const std::vector<std::string> hosts(voters.begin(), voters.end());
     const auto [entry, added] = m_allocating.try_emplace(workspace, limit, m_parameters, now);
-    if (added && isNew)
+    if (added && m_newWorkspaces.count(workspace) > 0)
         entry->second = limit_allocator::forNewWorkspace(limit, m_parameters, hosts, now);
     entry->second.setLimit(limit);
     const double granted = grant(workspace, m_self, demandOf(workspace));
--- a/goldcrestdeck/exchange.h
+++ b/goldcrestdeck/exchange.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,10 @@
 public:
     limit_exchange(const clock &time, std::string self, traffic_view &view);
 
-    /// Measures demand and forgets lapsed leases; called about once a second.
+    /// Gives each workspace of \a current its rate; called before requests are routed by it.
+    void follow(const config &current);
+
+    /// Measures demand and forgets lapsed leases; called about once a second, after follow().
     void tick(const config &current, const std::vector<host_entry> &live);
 
     /// Puts into \a ping the demand for the workspaces that the host at \a address allocates.
@@ -72,7 +76,7 @@
     };
 
     void chooseAllocators(const std::vector<host_entry> &live);
-    void keepAllocator(const std::string &workspace, bool isNew, const host_names &voters);
+    void keepAllocator(const std::string &workspace, const host_names &voters);
     double heldRate(const std::string &workspace) const;
     workspace_rate demandOf(const std::string &workspace) const;
     double grant(const std::string &workspace, const std::string &host,
@@ -84,6 +88,7 @@
     traffic_view &m_view;
     limit_parameters m_parameters;
     std::map<std::string, double> m_limits; ///< By workspace, of the table.
+    std::set<std::string> m_newWorkspaces;  ///< That came to the table since the last tick.
     std::size_t m_voters = 0;
     bool m_seesMajority = false;
     bool m_started = false;
--- a/goldcrestdeck/node.cc
+++ b/goldcrestdeck/node.cc
@@ -82,7 +82,8 @@
               [this](const peer_body &request) { return onPeerRequest(request); })
     , m_control{m_loop, m_blocking, time, countedStore(store, counters), m_peers, counters}
     , m_members(configuration.name, incarnationOf(time), membership_limits())
-    , m_config(m_control, entryOf(configuration), stableHash(randomHex(16)), m_members, m_view)
+    , m_config(m_control, entryOf(configuration), stableHash(randomHex(16)), m_members, m_view,
+               [this](const config &value) { m_limits.follow(value); })
     , m_accounting(m_control, m_config, m_view, configuration.name, m_source,
                    {configuration.maxUnwrittenRecords, configuration.maxHeldRecords})
     , m_ratings(time, m_source, m_view)
--- a/goldcrestdeck/testing/limits_test.cc
+++ b/goldcrestdeck/testing/limits_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "goldcrestdeck/digest.h"
+#include "goldcrestdeck/exchange.h"
 #include "goldcrestdeck/membership.h"
 
 namespace goldcrestdeck {
@@ -47,6 +48,28 @@
     EXPECT_TRUE(bucket.take(time.now()));
 }
 
+TEST(limit_exchange, restarted_host_before_its_first_tick_admits_at_the_reserved_rate)
+{
+    constexpr double limit = 100'000;
+    manual_clock time;
+    traffic_view view;
+    limit_exchange leases(time, "h0", view);
+    config value;
+    table_row row;
+    row.workspace = "mill";
+    row.requestsPerSecond = static_cast<std::uint32_t>(limit);
+    value.rows = {row};
+    value.voters = {{"h0", "10.0.0.1:1", "d"}, {"h1", "10.0.0.2:1", "d"}};
+    leases.follow(value);
+    int admitted = 0;
+    for (int ms = 0; ms < 100; ++ms) {
+        time.advance(milliseconds(1));
+        duration wait{};
+        admitted += view.limits().take("mill", time.now(), wait) ? 1 : 0;
+    }
+    EXPECT_EQ(admitted, 100);
+}
+
 /// Hosts that ask, stay away, and an allocator that changes. The oracle adds up the leases that
 /// hosts believe to hold.
 RC_GTEST_PROP(limit_allocator_model, leases_never_add_up_to_more_than_the_limit, ())
--- a/measure/limits_experiment.cc
+++ b/measure/limits_experiment.cc
@@ -53,8 +53,9 @@
         for (std::size_t i = 0; i < hostCount; ++i) {
             m_hosts.push_back(std::make_unique<model_host>());
             m_config.voters.push_back({nameOf(i), addressOf(i), "d"});
-            start(i);
         }
+        for (std::size_t i = 0; i < hostCount; ++i)
+            start(i);
     }
 
     limit_result run()
@@ -81,6 +82,7 @@
     {
         m_hosts[host]->leases
             = std::make_unique<limit_exchange>(m_time, nameOf(host), m_hosts[host]->view);
+        m_hosts[host]->leases->follow(m_config);
     }
 
     /// What \a host believes: changes of others show after suspectMs.
