A change is accepted without one of two previous voters

With the frozen host one of the two previous voters, a majority of them cannot be had, and the edit stays stored. Change: acceptance asks for voters that meet every quorum, not for a quorum: half of an even set is enough, since a quorum needs more than half. For odd sets nothing changes. Ruled out: the frozen host's link and the pool for blocking calls (the other host's replies came on time). Before: the new unit test fails.

--- a/goldcrestdeck/config.cc
+++ b/goldcrestdeck/config.cc
@@ -13,12 +13,16 @@
 /// in a day.
 constexpr std::size_t maxRecentEdits = 64;
 
+std::size_t countOf(const std::vector<host_entry> &voters, const host_names &present)
+{
+    return static_cast<std::size_t>(
+        std::count_if(voters.begin(), voters.end(),
+                      [&](const host_entry &voter) { return present.count(voter.name) > 0; }));
+}
+
 bool isMajority(const std::vector<host_entry> &voters, const host_names &present)
 {
-    const auto count = std::count_if(voters.begin(), voters.end(), [&](const host_entry &voter) {
-        return present.count(voter.name) > 0;
-    });
-    return static_cast<std::size_t>(count) * 2 > voters.size();
+    return countOf(voters, present) * 2 > voters.size();
 }
 
 json_value encodeHosts(const std::vector<host_entry> &hosts)
@@ -109,6 +113,14 @@
     return current.previousVoters.empty() || isMajority(current.previousVoters, present);
 }
 
+bool meetsEveryQuorum(const config &current, const host_names &present)
+{
+    const auto holdsHalf = [&present](const std::vector<host_entry> &hosts) {
+        return countOf(hosts, present) * 2 >= hosts.size();
+    };
+    return holdsHalf(current.voters) && holdsHalf(current.previousVoters);
+}
+
 std::string encodeConfig(const config &value)
 {
     json_value document = json_value::object();
--- a/goldcrestdeck/config.h
+++ b/goldcrestdeck/config.h
@@ -51,6 +51,10 @@
 /// ones as well.
 bool hasQuorum(const config &current, const host_names &present);
 
+/// Whether every set that hasQuorum() takes shares a host with \a present: half of the voters and,
+/// during a change of them, half of the previous ones as well.
+bool meetsEveryQuorum(const config &current, const host_names &present);
+
 /// The value as kept in the key-value service (JSON).
 std::string encodeConfig(const config &value);
 
--- a/goldcrestdeck/revision_guard.cc
+++ b/goldcrestdeck/revision_guard.cc
@@ -148,7 +148,7 @@
     for (const auto &[host, held] : m_holdings) {
         const bool isEarlier = !m_quorumAt || held.from < *m_quorumAt;
         const host_names hosts = heldAt(held.from);
-        if (isEarlier && hasQuorum(m_config, hosts))
+        if (isEarlier && meetsEveryQuorum(m_config, hosts))
             m_quorumAt = held.from;
         if (std::includes(hosts.begin(), hosts.end(), m_voters.begin(), m_voters.end()))
             m_heldByAll = true;
--- a/goldcrestdeck/testing/revision_guard_test.cc
+++ b/goldcrestdeck/testing/revision_guard_test.cc
@@ -499,6 +499,25 @@
     EXPECT_TRUE(progress().accepted(time.now()));
 }
 
+TEST_F(acceptance_fixture, change_without_one_of_two_previous_voters_is_accepted)
+{
+    // No quorum of the two is possible without h0, which holds the change.
+    three.previousVoters = {entryOf(0), entryOf(2)};
+    ask("h1", 5, 1);
+    ask("h1", 5, 1);
+    time.advance(std::chrono::seconds(10));
+    EXPECT_TRUE(progress().accepted(time.now()));
+}
+
+TEST_F(acceptance_fixture, change_without_the_only_previous_voter_is_not_accepted)
+{
+    three.previousVoters = {entryOf(2)};
+    ask("h1", 5, 1);
+    ask("h1", 5, 1);
+    time.advance(std::chrono::seconds(10));
+    EXPECT_FALSE(progress().accepted(time.now()));
+}
+
 TEST_F(acceptance_fixture, voter_that_restarted_between_its_replies_does_not_count)
 {
     ask("h1", 5, 1);
