A timer that was cancelled or set anew never runs its old work

Asio runs the handler of an expired timer that already waits in the loop's queue, without an error, also after cancel(): an idle timer that expires as the request is read then closes the connection. The same holds for the client's connect timer. Ruled out: a crash (no other request of the host was lost), drain (2.4 s after SIGTERM idle connections are not closed yet), the forwarder (no path ends a request without an answer before its stream has begun).

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -7,12 +7,12 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "goldcrestdeck/async_server.h"
+#include "goldcrestdeck/one_shot_timer.h"
 
 namespace goldcrestdeck {
 
@@ -66,7 +66,7 @@
     connection(asio::io_context &io, const clock &time, std::string peer,
                std::shared_ptr<shared_state> shared)
         : m_socket(io)
-        , m_timer(io)
+        , m_timer(io.get_executor())
         , m_clock(time)
         , m_peer(std::move(peer))
         , m_shared(std::move(shared))
@@ -168,9 +168,8 @@
 
     void setTimer(duration time)
     {
-        m_timer.expires_after(time);
-        m_timer.async_wait([self = shared_from_this()](error_code error) {
-            if (!error && self->m_busy)
+        m_timer.set(time, [self = shared_from_this()] {
+            if (self->m_busy)
                 self->fail(self->m_startedWriting ? call_failure::timeout : call_failure::notSent);
         });
     }
@@ -348,7 +347,7 @@
     }
 
     tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     const clock &m_clock;
     std::string m_peer;
     std::shared_ptr<shared_state> m_shared;
--- a/goldcrestdeck/async_server.cc
+++ b/goldcrestdeck/async_server.cc
@@ -7,11 +7,12 @@
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "goldcrestdeck/one_shot_timer.h"
+
 namespace goldcrestdeck {
 
 namespace asio = boost::asio;
@@ -86,6 +87,13 @@
 
     bool isIdle() const { return m_phase == phase::idle && m_buffer.size() == 0; }
 
+    /// The time for which a connection may be idle has changed.
+    void noteIdleTimeout()
+    {
+        if (m_phase == phase::idle)
+            awaitRequest();
+    }
+
     /// Ends an idle connection in order, so that the client sees its end and not a reset.
     void closeInOrder()
     {
@@ -168,11 +176,7 @@
 
     void setTimer(std::chrono::milliseconds time)
     {
-        m_timer.expires_after(time);
-        m_timer.async_wait([self = shared_from_this()](error_code error) {
-            if (!error)
-                self->expire();
-        });
+        m_timer.set(time, [self = shared_from_this()] { self->expire(); });
     }
 
     void expire()
@@ -387,7 +391,7 @@
     }
 
     tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     std::shared_ptr<shared_state> m_state;
     beast::flat_buffer m_buffer;
     std::unique_ptr<parser> m_parser;
@@ -443,7 +447,12 @@
 
 void async_server::setLimits(const client_limits &limits)
 {
+    const bool isIdleTimeoutNew = limits.idleTimeout != m_state->limits.idleTimeout;
     m_state->limits = limits;
+    if (!isIdleTimeoutNew)
+        return;
+    for (const auto &open : m_state->connections)
+        open->noteIdleTimeout();
 }
 
 void async_server::closeAfterAnswers()
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -49,7 +49,7 @@
     , m_onView(std::move(onView))
     , m_onConfirmed(std::move(onConfirmed))
     , m_sessions(std::move(sessions))
-    , m_timer(io)
+    , m_timer(io.get_executor())
     , m_instances(rejoinTime)
     , m_rollouts(settings.name, rolloutParameters(settings))
 { }
@@ -96,9 +96,8 @@
 {
     if (m_stopped)
         return;
-    m_timer.expires_after(wait);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error && !m_stopped)
+    m_timer.set(wait, [this] {
+        if (!m_stopped)
             poll();
     });
 }
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -13,9 +13,8 @@
 #include <memory>
 #include <set>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "goldcrestdeck/async_kv_store.h"
+#include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/rollout_member.h"
 #include "goldcrestdeck/router_settings.h"
 #include "goldcrestdeck/routing_view.h"
@@ -106,7 +105,7 @@
     confirm_listener m_onConfirmed;
     session_source m_sessions;
 
-    boost::asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     bool m_stopped = false;
     bool m_polling = false;
     bool m_readEverything = false; ///< A whole read has succeeded and the feed follows it.
--- a/goldcrestdeck/testing/http_engine_test.cc
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -159,6 +159,18 @@
     EXPECT_TRUE(client.readsEnd());
 }
 
+TEST_F(http_engine_fixture, idle_connection_follows_a_longer_idle_time)
+{
+    byte_client client(m_address);
+    std::this_thread::sleep_for(milliseconds(100));
+    client_limits longer;
+    longer.idleTimeout = milliseconds(5000);
+    boost::asio::post(m_io, [this, longer] { m_server->setLimits(longer); });
+    std::this_thread::sleep_for(milliseconds(800));
+    client.send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(client.read().result_int(), 200U);
+}
+
 TEST_F(http_engine_fixture, stopping_server_closes_behind_each_answer)
 {
     byte_client client(m_address);
