Sends that a crash broke off say nothing of the version that ran

Change: a send that broke off or fell silent is reported against the version only once the same process has answered again (send_result::broken); a crashed one never does. Ruled out: one count for each instance and host (75 hosts would still add up to a verdict).

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -59,6 +59,20 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+send_result resultOf(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::notSent:
+        return send_result::unreachable;
+    case call_failure::malformed:
+        return send_result::failed;
+    case call_failure::broken:
+    case call_failure::timeout:
+        break;
+    }
+    return send_result::broken;
+}
+
 http1_response makeRefusal(http::status status, const std::string &code, run_state run,
                            std::optional<std::chrono::milliseconds> retryAfter)
 {
@@ -234,7 +248,7 @@
         if (canMove && m_state.mayRepeat(m_service, repeat_reason::failure, time)) {
             m_call.cancel();
             m_mayHaveRun = true;
-            endSend(send_result::failed, "slow");
+            endSend(send_result::broken, "slow");
             m_reason = "silent";
             send();
             return;
@@ -502,7 +516,7 @@
     void onFailure(call_failure failure)
     {
         const bool unsent = failure == call_failure::notSent;
-        endSend(unsent ? send_result::unreachable : send_result::failed, toString(failure));
+        endSend(resultOf(failure), toString(failure));
         if (unsent) {
             --m_runs;
             --m_arrivals;
@@ -574,14 +588,16 @@
     void endSend(send_result result, const char *outcome)
     {
         m_sending = false;
-        m_state.noteEnd(m_chosen, m_begun, result, now());
+        const unsigned outlived = m_state.noteEnd(m_chosen, m_begun, result, now());
         m_parts.counters.sends(outcome).Increment();
-        if (result == send_result::failed && m_chosen.side == version_side::candidate)
+        const bool failed = result == send_result::failed;
+        if ((failed || result == send_result::broken) && m_chosen.side == version_side::candidate)
             m_failedOnCandidate = true;
-        if (m_chosen.inRollout
-            && (result == send_result::answered || result == send_result::failed))
-            m_parts.reportAnswer(
-                {m_service, m_route->name, m_chosen.side, result == send_result::failed, m_slow});
+        if (m_chosen.inRollout && (failed || result == send_result::answered)) {
+            m_parts.reportAnswer({m_service, m_route->name, m_chosen.side, failed, m_slow});
+            for (unsigned i = 0; i < outlived; ++i)
+                m_parts.reportAnswer({m_service, m_route->name, m_chosen.side, true, false});
+        }
         m_slow = false;
         if (result != send_result::answered)
             logEvent(log_level::info, "send_ended",
--- a/goldcrestdeck/testing/traffic_state_test.cc
+++ b/goldcrestdeck/testing/traffic_state_test.cc
@@ -201,6 +201,23 @@
     EXPECT_EQ(0, toBad);
 }
 
+TEST_F(traffic_state_fixture, broken_sends_count_once_their_instance_has_answered_again)
+{
+    show(rollout_stage::full);
+    const placement_request request = requestOf("s");
+    const chosen_instance chosen = *m_state.choose(request, m_time.now());
+    const auto end = [&](send_result result) {
+        m_state.noteSent(request, chosen, m_time.now());
+        return m_state.noteEnd(chosen, true, result, m_time.now());
+    };
+    // As after a crash: nothing that is heard says that the process lives.
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(0U, end(send_result::broken));
+    EXPECT_EQ(0U, end(send_result::unreachable));
+    EXPECT_EQ(5U, end(send_result::answered));
+    EXPECT_EQ(0U, end(send_result::answered));
+}
+
 TEST_F(traffic_state_fixture, request_that_was_tried_everywhere_is_still_placed)
 {
     placement_request request = requestOf("s");
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -194,8 +194,8 @@
     return known == m_paces.end() ? 1 : known->second.lately / std::max(known->second.usual, 1e-9);
 }
 
-void traffic_state::noteEnd(const chosen_instance &chosen, bool begun, send_result result,
-                            time_point now)
+unsigned traffic_state::noteEnd(const chosen_instance &chosen, bool begun, send_result result,
+                                time_point now)
 {
     const auto session = m_sessions.find({chosen.target.service, chosen.session});
     if (session != m_sessions.end()) {
@@ -212,20 +212,23 @@
     case send_result::refused:
         state.refusedUntil = now + refusalPause;
         state.unreachable = 0;
-        return;
+        return 0;
     case send_result::unreachable:
         state.ejectedUntil
             = now + unreachablePause * (1 << std::min(state.unreachable, maxPauseDoublings));
         ++state.unreachable;
-        return;
+        return 0;
     case send_result::abandoned:
-        return;
+        return 0;
     case send_result::answered:
     case send_result::failed:
+    case send_result::broken:
         break;
     }
     state.unreachable = 0;
-    const double failed = result == send_result::failed ? 1 : 0;
+    const unsigned outlived = result == send_result::broken ? 0 : state.broken;
+    state.broken = result == send_result::broken ? state.broken + 1 : 0;
+    const double failed = result == send_result::answered ? 0 : 1;
     state.answers += 1;
     state.failureShare += failureWeight * (failed - state.failureShare);
     if (state.answers >= minAnswers && state.failureShare > failureShareLimit) {
@@ -233,6 +236,7 @@
         // It is tried again with fewer failures to spare.
         state.failureShare = failureShareLimit / 2;
     }
+    return outlived;
 }
 
 void traffic_state::noteRequest(const std::string &service, time_point now)
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -46,7 +46,8 @@
 
 enum class send_result {
     answered,    ///< A whole answer that is no failure.
-    failed,      ///< A failure of the instance's own, or a broken or malformed answer.
+    failed,      ///< A failure of the instance's own, or bytes that are no answer.
+    broken,      ///< The connection broke off, or was silent for too long.
     refused,     ///< It has not run the request.
     unreachable, ///< No connection.
     abandoned    ///< The router or the client gave up.
@@ -82,7 +83,10 @@
                              double missingTokens) const;
     /// How much longer than usual a model's answers take to begin; 1 is as usual.
     double slowness(const std::string &service, const std::string &model) const;
-    void noteEnd(const chosen_instance &chosen, bool begun, send_result result, time_point now);
+    /// \returns how many earlier sends broke off although the instance's process lives: this answer
+    /// shows it. Those that a crash broke off are never returned, since they say nothing of the
+    /// version that ran.
+    unsigned noteEnd(const chosen_instance &chosen, bool begun, send_result result, time_point now);
 
     void noteRequest(const std::string &service, time_point now);
     bool mayRepeat(const std::string &service, repeat_reason reason, time_point now);
@@ -111,6 +115,7 @@
         double failureShare = 0; ///< Smoothed.
         double answers = 0;
         int unreachable = 0; ///< In a row.
+        unsigned broken = 0; ///< Sends that broke off since its last answer.
         time_point refusedUntil;
         time_point ejectedUntil;
     };
