Hosts that have told no bad answers count in the verdict on a version

A host tells its tally only when it has seen bad answers, so in a fleet of 75 the sum of what was told is far from the fleet's share. Change: each host known by its session list that has told nothing counts with the mean number of answers. New tests: eight of forty hosts with one bad answer of four judged the version bad before; half bad on 24 hosts still does.

--- a/goldcrestdeck/rollout_member.cc
+++ b/goldcrestdeck/rollout_member.cc
@@ -145,9 +145,10 @@
     const known_record &current = known->second;
     if (isDecided(current.record))
         return;
-    if (!own.judgedBad && isBadVersion(knownTally(order, own, now), own.established)) {
+    const version_tally candidate = knownTally(order, own, now);
+    if (!own.judgedBad && isBadVersion(candidate, own.established)) {
         own.judgedBad = true;
-        actions.judgedBad.push_back(order);
+        actions.judgedBad.push_back({order, candidate.total(), own.established.total()});
     }
     const duration seenFor = now - current.seenAt;
     if (current.record.stage == rollout_stage::canary
@@ -237,12 +238,20 @@
                                          time_point now) const
 {
     std::vector<version_tally> tallies = {own.candidate};
+    std::set<std::string> silent;
+    for (const auto &item : m_sessionLists) {
+        if (item.first.first == order.service && item.second.orderRevision == order.revision)
+            silent.insert(item.first.second);
+    }
+    silent.erase(m_host);
     for (const auto &item : m_tallies) {
         if (item.first.first == order.service && item.second.orderRevision == order.revision
-            && now - item.second.seenAt < tallyLifetime)
+            && now - item.second.seenAt < tallyLifetime) {
             tallies.push_back(item.second.tally);
+            silent.erase(item.first.second);
+        }
     }
-    return sum(tallies);
+    return sumWithSilentHosts(tallies, silent.size());
 }
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/rollout_member.h
+++ b/goldcrestdeck/rollout_member.h
@@ -38,12 +38,19 @@
     std::string reason;
 };
 
+/// An order whose version was judged bad just now, and the answers that decided it.
+struct bad_verdict {
+    rollout_order order;
+    answer_tally candidate;   ///< Of all hosts, as far as known here.
+    answer_tally established; ///< Of this host.
+};
+
 /// What a host should do now.
 struct rollout_actions {
     std::vector<record_write> records;
     std::vector<std::pair<rollout_order, version_tally>> tallies; ///< To tell the other hosts.
-    std::vector<rollout_order> sessions;  ///< Whose sessions to tell the other hosts.
-    std::vector<rollout_order> judgedBad; ///< Judged bad just now.
+    std::vector<rollout_order> sessions; ///< Whose sessions to tell the other hosts.
+    std::vector<bad_verdict> judgedBad;
 
     bool changesView() const { return !judgedBad.empty(); }
 };
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -411,9 +411,16 @@
         return;
     const rollout_actions actions = m_rollouts.advance(
         m_clock.now(), [this](const rollout_order &order) { return instancesOf(order); });
-    for (const rollout_order &order : actions.judgedBad)
+    for (const bad_verdict &verdict : actions.judgedBad)
         logEvent(log_level::warning, "version_judged_bad",
-                 {{"service", order.service}, {"target", order.target}});
+                 {{"service", verdict.order.service},
+                  {"target", verdict.order.target},
+                  {"answers", std::to_string(verdict.candidate.answers)},
+                  {"failures", std::to_string(verdict.candidate.failures)},
+                  {"slow", std::to_string(verdict.candidate.slow)},
+                  {"other_answers", std::to_string(verdict.established.answers)},
+                  {"other_failures", std::to_string(verdict.established.failures)},
+                  {"other_slow", std::to_string(verdict.established.slow)}});
     if (actions.changesView())
         publish();
     for (const record_write &write : actions.records)
--- a/goldcrestdeck/testing/rollout_model_test.cc
+++ b/goldcrestdeck/testing/rollout_model_test.cc
@@ -302,6 +302,50 @@
     }
 }
 
+/// A host of forty in a canary stage. The others have told it which sessions they have.
+class large_fleet_fixture : public ::testing::Test
+{
+protected:
+    large_fleet_fixture()
+    {
+        m_member.noteOrder(m_order);
+        m_member.noteRecord("engine", {7, "v2", rollout_stage::canary, {}}, 8, m_time.now());
+        for (int host = 1; host < 40; ++host)
+            m_member.noteSessions("engine", nameOf(host), 7, {});
+        for (int i = 0; i < 4; ++i)
+            m_member.noteAnswer({"engine", "r", version_side::candidate, false, false},
+                                m_time.now());
+    }
+
+    static std::string nameOf(int host) { return "h" + std::to_string(host); }
+
+    /// \a hosts tell that \a bad of their four answers were bad.
+    bool isJudgedBad(int hosts, double bad)
+    {
+        version_tally tally;
+        tally.byRoute["r"] = {4, bad, 0};
+        for (int host = 1; host <= hosts; ++host)
+            m_member.noteTally("engine", nameOf(host), 7, tally, m_time.now());
+        const auto actions
+            = m_member.advance(m_time.now(), [](const rollout_order &) { return 1U; });
+        return !actions.judgedBad.empty();
+    }
+
+    manual_clock m_time;
+    rollout_order m_order{"engine", "v2", seconds(24), 7};
+    rollout_member m_member{"h0", rolloutParameters(modelSettings())};
+};
+
+TEST_F(large_fleet_fixture, few_hosts_with_bad_answers_do_not_make_a_bad_version)
+{
+    EXPECT_FALSE(isJudgedBad(8, 1));
+}
+
+TEST_F(large_fleet_fixture, bad_answers_on_most_hosts_make_a_bad_version)
+{
+    EXPECT_TRUE(isJudgedBad(24, 2));
+}
+
 TEST(rollout_model, good_version_is_completed_though_hosts_are_killed_and_cut_off)
 {
     int completed = 0;
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -195,6 +195,15 @@
     return result;
 }
 
+version_tally sumWithSilentHosts(const std::vector<version_tally> &known, std::size_t silent)
+{
+    version_tally result = sum(known);
+    const double hosts = static_cast<double>(known.size() + silent);
+    for (auto &entry : result.byRoute)
+        entry.second.answers *= hosts / static_cast<double>(std::max<std::size_t>(1, known.size()));
+    return result;
+}
+
 bool isBadVersion(const version_tally &candidate, const version_tally &other)
 {
     if (isBad(candidate.total(), other.total(), badShare))
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -113,6 +113,10 @@
 /// \throws json_error
 version_tally decodeTally(const std::string &text);
 version_tally sum(const std::vector<version_tally> &tallies);
+/// Adds hosts that have told nothing. A host tells its tally when it has seen bad answers, so those
+/// that tell are not a fair sample: each silent one is taken to have had as many answers as the
+/// mean of \a known, none of them bad.
+version_tally sumWithSilentHosts(const std::vector<version_tally> &known, std::size_t silent);
 
 /// Whether answers like these come from a bad version rather than from chance or from faults that
 /// the other version has too.
