Hosts ask one another for what has changed in the store

Change: hosts register in the store under a lease (host_registration); all but the first host of a failure domain ask one that ranks before them (feed_link over peer_link, FlatBuffers), and ask the store themselves when it does not answer or cannot tell. feed_memory keeps what may be told. Age is counted from the question. Ruled out: one reader for all (a cut between domains), pushing (a delayed message would look fresh).

--- a/goldcrestdeck/async_kv_store.h
+++ b/goldcrestdeck/async_kv_store.h
@@ -59,6 +59,7 @@
 struct kv_transaction {
     std::vector<kv_condition> conditions;
     std::vector<kv_item> writes; ///< Their revisions are not used.
+    std::uint64_t lease = 0;     ///< Under which they stand; 0: they stay.
 };
 
 struct kv_transaction_result {
@@ -76,6 +77,12 @@
         changes;
     std::function<void(const kv_transaction &, std::function<void(kv_transaction_result)>)>
         transact;
+    /// A lease ends \a lifetime after it was last renewed, and with it the keys that stand under
+    /// it. Reports its number, or 0 if none was granted.
+    std::function<void(std::chrono::milliseconds lifetime, std::function<void(std::uint64_t)>)>
+        grantLease;
+    /// Reports conflict if the lease has ended.
+    std::function<void(std::uint64_t lease, std::function<void(kv_outcome)>)> renewLease;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -52,7 +52,7 @@
 constexpr double gapFactor = 1.5;
 constexpr std::chrono::milliseconds minGapPatience{1200};
 /// The least urgent rank that an instance knows.
-constexpr unsigned lowestPriority = 9;
+constexpr unsigned leastUrgentRank = 9;
 
 std::string milliseconds(duration time)
 {
@@ -318,7 +318,7 @@
         if (m_workspace != nullptr)
             order.workspace = m_workspace->name;
         order.priority
-            = std::min(lowestPriority,
+            = std::min(leastUrgentRank,
                        m_workspace != nullptr && m_workspace->priority ? *m_workspace->priority
                                                                        : m_route->priority);
         if (m_lastEvent)
--- /dev/null
+++ b/goldcrestdeck/host_registration.cc
@@ -0,0 +1,84 @@
+#include "goldcrestdeck/host_registration.h"
+
+#include <utility>
+
+#include "goldcrestdeck/log.h"
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Of the lease. Hosts that ask a dead one notice by themselves at once, so this only bounds how
+/// long they try it again now and then.
+constexpr std::chrono::milliseconds leaseTime{30'000};
+/// Between two renewals: two may be missed.
+constexpr std::chrono::milliseconds renewPause{10'000};
+/// Before the next try when the service did not answer.
+constexpr std::chrono::milliseconds retryPause{5'000};
+
+} // namespace
+
+host_registration::host_registration(const boost::asio::any_io_executor &executor,
+                                     async_kv_store store, std::string key, std::string value)
+    : m_store(std::move(store))
+    , m_key(std::move(key))
+    , m_value(std::move(value))
+    , m_timer(executor)
+{ }
+
+void host_registration::start()
+{
+    grant();
+}
+
+void host_registration::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void host_registration::schedule(std::chrono::milliseconds wait, void (host_registration::*step)())
+{
+    if (!m_stopped)
+        m_timer.set(wait, [this, step] { (this->*step)(); });
+}
+
+void host_registration::grant()
+{
+    m_store.grantLease(leaseTime, [this](std::uint64_t lease) {
+        m_lease = lease;
+        if (lease == 0)
+            schedule(retryPause, &host_registration::grant);
+        else if (!m_stopped)
+            write();
+    });
+}
+
+void host_registration::write()
+{
+    kv_transaction transaction;
+    transaction.writes.push_back({m_key, m_value, 0});
+    transaction.lease = m_lease;
+    m_store.transact(transaction, [this](const kv_transaction_result &result) {
+        logEvent(log_level::info, "host_registered",
+                 {{"key", m_key}, {"outcome", toString(result.outcome)}});
+        if (result.outcome == kv_outcome::done)
+            schedule(renewPause, &host_registration::renew);
+        else
+            schedule(retryPause, &host_registration::grant);
+    });
+}
+
+void host_registration::renew()
+{
+    m_store.renewLease(m_lease, [this](kv_outcome outcome) {
+        if (outcome == kv_outcome::done)
+            schedule(renewPause, &host_registration::renew);
+        else if (outcome == kv_outcome::conflict)
+            schedule(std::chrono::milliseconds(0), &host_registration::grant);
+        else
+            schedule(retryPause, &host_registration::renew);
+    });
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/host_registration.h
@@ -0,0 +1,43 @@
+#ifndef GOLDCRESTDECK_HOST_REGISTRATION_H_
+#define GOLDCRESTDECK_HOST_REGISTRATION_H_
+
+/// \file
+/// Keeps one key in the key-value service for as long as this process lives.
+///
+/// The key stands under a lease, so it goes by itself when the process ends, is frozen or cut off.
+/// It is written anew whenever the lease has ended meanwhile. A service that does not answer is
+/// asked again after a pause. All on the control thread.
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "goldcrestdeck/async_kv_store.h"
+#include "goldcrestdeck/one_shot_timer.h"
+
+namespace goldcrestdeck {
+
+class host_registration
+{
+public:
+    host_registration(const boost::asio::any_io_executor &executor, async_kv_store store,
+                      std::string key, std::string value);
+
+    void start();
+    void stop();
+
+private:
+    void grant();
+    void write();
+    void renew();
+    void schedule(std::chrono::milliseconds wait, void (host_registration::*step)());
+
+    async_kv_store m_store;
+    std::string m_key;
+    std::string m_value;
+    std::uint64_t m_lease = 0;
+    bool m_stopped = false;
+    one_shot_timer m_timer;
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_HOST_REGISTRATION_H_
--- a/goldcrestdeck/node.cc
+++ b/goldcrestdeck/node.cc
@@ -79,7 +79,9 @@
     , m_source(sourceOf(configuration, time))
     , m_blocking(blockingThreads)
     , m_peers(m_loop, configuration.peerAddress,
-              [this](const peer_body &request) { return onPeerRequest(request); })
+              [this](const peer_body &request, const peer_link::replier &reply) {
+                  reply(onPeerRequest(request));
+              })
     , m_control{m_loop, m_blocking, time, countedStore(store, counters), m_peers, counters}
     , m_members(configuration.name, incarnationOf(time), membership_limits())
     , m_config(m_control, entryOf(configuration), stableHash(randomHex(16)), m_members, m_view,
--- a/goldcrestdeck/peer_link.cc
+++ b/goldcrestdeck/peer_link.cc
@@ -1,5 +1,7 @@
 #include "goldcrestdeck/peer_link.h"
 
+#include "goldcrestdeck/async_server.h"
+
 #include <array>
 #include <deque>
 #include <utility>
@@ -71,8 +73,7 @@
     void start()
     {
         m_connected = true;
-        error_code ignored;
-        m_socket.set_option(tcp::no_delay(true), ignored);
+        setPeerTimeouts(m_socket);
         readLength();
         if (!m_queue.empty())
             writeNext();
@@ -231,7 +232,13 @@
 protected:
     void onMessage(const peer_message &message) override
     {
-        send(encodeMessage(message.id, m_link.m_handler(message.body)));
+        const auto self = std::static_pointer_cast<incoming>(shared_from_this());
+        m_link.m_handler(
+            message.body,
+            [weak = std::weak_ptr<incoming>(self), id = message.id](const peer_body &reply) {
+                if (const auto asker = weak.lock())
+                    asker->send(encodeMessage(id, reply));
+            });
     }
 
     void onClosed() override { m_link.m_incoming.erase(m_key); }
--- a/goldcrestdeck/peer_link.h
+++ b/goldcrestdeck/peer_link.h
@@ -33,8 +33,10 @@
 class peer_link
 {
 public:
-    /// Answers a request of another host.
-    using request_handler = std::function<peer_body(const peer_body &)>;
+    /// Sends the reply to one request; does nothing if the asker is gone meanwhile.
+    using replier = std::function<void(const peer_body &)>;
+    /// Answers a request of another host, now or later. \throws peer_error if it is none.
+    using request_handler = std::function<void(const peer_body &, const replier &)>;
     /// Gets the reply, or nothing where it did not come in time.
     using reply_handler = std::function<void(const std::optional<peer_body> &)>;
 
--- a/goldcrestdeck/peer_message.cc
+++ b/goldcrestdeck/peer_message.cc
@@ -179,6 +179,27 @@
         return wire::CreateHoldResult(m_builder, result.held).Union();
     }
 
+    Offset<void> operator()(const ask_feed_message &ask)
+    {
+        type = wire::Body_AskFeed;
+        return wire::CreateAskFeed(m_builder, ask.after).Union();
+    }
+
+    Offset<void> operator()(const feed_news_message &news)
+    {
+        type = wire::Body_FeedNews;
+        const auto changes
+            = writeList<wire::FeedItem>(m_builder, news.changes, [&](const kv_change &change) {
+                  const auto key = m_builder.CreateString(change.item.key);
+                  const auto value = m_builder.CreateString(change.item.value);
+                  return wire::CreateFeedItem(m_builder, key, value, change.item.revision,
+                                              change.deleted);
+              });
+        return wire::CreateFeedNews(m_builder, news.usable, news.confirmedAfter.count(),
+                                    news.revision, changes)
+            .Union();
+    }
+
     wire::Body type = wire::Body_NONE;
 
 private:
@@ -222,6 +243,19 @@
     return pong;
 }
 
+feed_news_message readNews(const wire::FeedNews *body)
+{
+    feed_news_message news;
+    news.usable = body->usable();
+    news.confirmedAfter = duration(body->confirmed_after_ns());
+    news.revision = body->revision();
+    news.changes = readList<kv_change>(body->changes(), [](const wire::FeedItem *item) {
+        return kv_change{{textOf(item->key()), textOf(item->value()), item->revision()},
+                         item->deleted()};
+    });
+    return news;
+}
+
 } // namespace
 
 std::string encodeMessage(std::uint64_t id, const peer_body &body)
@@ -259,6 +293,10 @@
     }
     case wire::Body_HoldResult:
         return {message->id(), hold_result_message{message->body_as_HoldResult()->held()}};
+    case wire::Body_AskFeed:
+        return {message->id(), ask_feed_message{message->body_as_AskFeed()->after()}};
+    case wire::Body_FeedNews:
+        return {message->id(), readNews(message->body_as_FeedNews())};
     default:
         throw peer_error("unknown message");
     }
--- a/goldcrestdeck/peer_message.h
+++ b/goldcrestdeck/peer_message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "goldcrestdeck/accounts.h"
+#include "goldcrestdeck/async_kv_store.h"
 #include "goldcrestdeck/membership.h"
 #include "goldcrestdeck/quality.h"
 #include "goldcrestdeck/revision_guard.h"
@@ -60,8 +61,24 @@
     bool held = false;
 };
 
-using peer_body = std::variant<ping_message, pong_message, fetch_config_message,
-                               config_value_message, hold_batch_message, hold_result_message>;
+/// Asks what has changed in the key-value service behind a revision; answered once the receiver has
+/// heard of it again.
+struct ask_feed_message {
+    std::uint64_t after = 0;
+};
+
+struct feed_news_message {
+    bool usable = false; ///< False: the receiver cannot tell; nothing else is set.
+    /// From the question's arrival to the call to the service that confirms this answer; negative
+    /// if that call was earlier.
+    duration confirmedAfter{0};
+    std::uint64_t revision = 0; ///< Ask for what comes after it next.
+    std::vector<kv_change> changes;
+};
+
+using peer_body
+    = std::variant<ping_message, pong_message, fetch_config_message, config_value_message,
+                   hold_batch_message, hold_result_message, ask_feed_message, feed_news_message>;
 
 /// The bytes of one message without the length in front.
 std::string encodeMessage(std::uint64_t id, const peer_body &body);
--- a/goldcrestdeck/router_settings.h
+++ b/goldcrestdeck/router_settings.h
@@ -22,6 +22,7 @@
     std::string clientAddress;  ///< "ip:port" for clients.
     std::string readyAddress;   ///< "ip:port" for the balancer's readiness probe.
     std::string metricsAddress; ///< "ip:port"
+    std::string peerAddress;    ///< "ip:port" for other hosts.
     std::string storeAddress;   ///< "ip:port" of the key-value service.
 
     std::chrono::milliseconds heartbeat{1200};   ///< Between an instance's registrations.
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -25,10 +25,20 @@
 /// Heartbeats of the instances without contact that make an outage in which entries may have
 /// lapsed; they lapse after three.
 constexpr int outageHeartbeats = 2;
+/// Between two polls of a host that others ask, as a part of the usual pause: with the patience
+/// below, a host that asks in vain still knows in time what it reads itself.
+constexpr double askedPollPart = 0.6;
+/// Patience with a host that is asked, as a part of the usual pause; longer than that host's pause.
+constexpr double askPatience = 0.8;
+/// For which a host that did not answer is not asked again, and the next one is.
+constexpr std::chrono::milliseconds avoidTime{5000};
+/// Deletions that other hosts can be told of.
+constexpr std::size_t maxDeletions = 2000;
 /// Names of this system's own keys, behind its prefix.
 constexpr const char *recordName = "rollout/";
 constexpr const char *tallyName = "tally/";
 constexpr const char *sessionsName = "sessions/";
+constexpr const char *hostsName = "hosts/";
 
 bool startsWith(const std::string &text, const std::string &prefix)
 {
@@ -50,6 +60,12 @@
     , m_onConfirmed(std::move(onConfirmed))
     , m_sessions(std::move(sessions))
     , m_timer(io.get_executor())
+    , m_self{settings.name, settings.peerAddress, settings.failureDomain}
+    , m_memory(maxDeletions,
+               [this](const kv_item &known, const kv_item &next) { return isRepeat(known, next); })
+    , m_link(io, time, settings.peerAddress, m_memory)
+    , m_registration(io.get_executor(), m_store, m_layout.ownPrefix + hostsName + settings.name,
+                     encodeFeedHost(m_self))
     , m_instances(rejoinTime)
     , m_rollouts(settings.name, rolloutParameters(settings))
 { }
@@ -64,6 +80,12 @@
 {
     m_stopped = true;
     m_timer.cancel();
+    m_registration.stop();
+}
+
+void store_follower::leave()
+{
+    m_link.leave();
 }
 
 void store_follower::setSettings(const router_settings &settings)
@@ -74,6 +96,12 @@
 
 void store_follower::confirm(std::function<void(bool)> done)
 {
+    // A question to a host may wait for long. The service is asked instead.
+    if (m_asking) {
+        ++m_question;
+        m_asking = false;
+        m_polling = false;
+    }
     // A call that is already out may have been answered before the change that matters.
     if (m_polling) {
         m_nextConfirms.push_back(std::move(done));
@@ -84,6 +112,74 @@
     poll();
 }
 
+std::optional<feed_host> store_follower::feedSource()
+{
+    // Whoever waits for a confirmation wants the service's own word.
+    if (!m_confirms.empty())
+        return std::nullopt;
+    const time_point now = m_clock.now();
+    for (const feed_host &host : hostsBefore(m_self, m_hosts)) {
+        const auto avoided = m_avoidedUntil.find(host.name);
+        if (avoided == m_avoidedUntil.end() || avoided->second <= now)
+            return host;
+        // It is there, and has only nothing to tell: no other would know more.
+        if (avoided->second - now <= m_settings.pollInterval())
+            return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+void store_follower::noteSource(const std::string &name)
+{
+    if (m_source == name)
+        return;
+    m_source = name;
+    logEvent(log_level::info, "feed_source", {{"host", name.empty() ? "store" : name}});
+}
+
+void store_follower::askHost(const feed_host &host)
+{
+    noteSource(host.name);
+    m_asking = true;
+    const std::uint64_t own = ++m_question;
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+        askPatience * m_settings.pollInterval());
+    m_link.ask(host.address, m_revision, patience, [this, own, host](const feed_news &news) {
+        if (!m_stopped && m_asking && own == m_question)
+            onNews(host, news);
+    });
+}
+
+void store_follower::onNews(const feed_host &host, const feed_news &news)
+{
+    m_asking = false;
+    if (news.outcome != feed_outcome::told || news.confirmedAt < m_lastContact) {
+        // What this host knows is as new, or it cannot be told: the service is asked at once.
+        m_polling = false;
+        m_avoidedUntil[host.name] = m_clock.now()
+            + (news.outcome == feed_outcome::silent ? avoidTime : m_settings.pollInterval());
+        m_mustAskService = true;
+        poll();
+        return;
+    }
+    m_lastChange = m_clock.now();
+    onChanges(news.changes, news.confirmedAt, feed_origin::host);
+}
+
+bool store_follower::isRepeat(const kv_item &known, const kv_item &next) const
+{
+    if (known.value == next.value)
+        return true;
+    if (!startsWith(next.key, m_layout.instancePrefix))
+        return false;
+    try {
+        return m_layout.decodeInstance(known.key, known.value)
+            == m_layout.decodeInstance(next.key, next.value);
+    } catch (const json_error &) {
+        return false; // Other hosts log what is wrong with it, as this one does.
+    }
+}
+
 void store_follower::noteAnswer(const rollout_answer &answer)
 {
     m_rollouts.noteAnswer(answer, m_clock.now());
@@ -112,9 +208,16 @@
         readAll();
         return;
     }
+    const auto source = std::exchange(m_mustAskService, false) ? std::nullopt : feedSource();
+    if (source) {
+        askHost(*source);
+        return;
+    }
+    if (m_confirms.empty())
+        noteSource("");
     m_store.changes("", m_revision, std::chrono::milliseconds(1), [this, now](kv_changes changes) {
         if (!m_stopped)
-            onChanges(changes, now);
+            onChanges(changes, now, feed_origin::service);
     });
 }
 
@@ -161,6 +264,8 @@
     onContact(read.sentAt);
     std::vector<instance> instances;
     std::set<std::string> keys;
+    m_memory.replaceAll(read.items, read.revision);
+    m_mustAskService = true;
     for (const kv_item &item : read.items) {
         keys.insert(item.key);
         if (!startsWith(item.key, m_layout.instancePrefix)) {
@@ -188,6 +293,8 @@
     if (!m_readEverything) {
         m_readEverything = true;
         m_dirty = true;
+        if (!std::exchange(m_registered, true))
+            m_registration.start();
         logEvent(log_level::info, "store_read",
                  {{"revision", std::to_string(m_revision)},
                   {"instances", std::to_string(instances.size())}});
@@ -195,7 +302,7 @@
     finishConfirms(true);
 }
 
-void store_follower::onChanges(const kv_changes &changes, time_point sentAt)
+void store_follower::onChanges(const kv_changes &changes, time_point sentAt, feed_origin origin)
 {
     if (changes.outcome == kv_outcome::compacted) {
         m_readEverything = false;
@@ -213,12 +320,19 @@
     if (!changes.changes.empty())
         m_lastChange = m_clock.now();
     for (const kv_change &change : changes.changes) {
-        if (change.deleted)
+        if (change.deleted) {
+            m_memory.remove(change.item.key, change.item.revision);
             applyDeletion(change.item.key);
-        else
+        } else {
+            if (origin == feed_origin::service)
+                m_memory.put(change.item);
+            else
+                m_memory.putNews(change.item);
             apply(change.item);
+        }
     }
     m_revision = std::max(m_revision, changes.revision);
+    m_memory.setRevision(m_revision);
     finishConfirms(true);
 }
 
@@ -229,10 +343,10 @@
         m_reachable = true;
         logEvent(log_level::info, "store_regained", {});
     }
-    m_regained = now - m_lastContact > outageHeartbeats * m_settings.heartbeat;
+    m_regained = sentAt - m_lastContact > outageHeartbeats * m_settings.heartbeat;
     if (m_regained)
         m_instances.noteRegained(now);
-    m_lastContact = now;
+    m_lastContact = sentAt;
     m_onConfirmed(sentAt);
 }
 
@@ -243,6 +357,7 @@
         logEvent(log_level::warning, "store_lost", {{"outcome", toString(outcome)}});
     }
     m_polling = false;
+    m_link.noteNoContact();
     const auto confirms = std::move(m_confirms);
     m_confirms = std::move(m_nextConfirms);
     m_nextConfirms.clear();
@@ -257,6 +372,9 @@
 void store_follower::finishConfirms(bool answered)
 {
     m_polling = false;
+    // Questions wait until what a reading has missed is made up for.
+    if (m_memory.isComplete())
+        m_link.noteConfirmed(m_lastContact);
     if (m_instances.expire(m_clock.now()))
         m_dirty = true;
     moveRollouts();
@@ -267,10 +385,14 @@
     m_nextConfirms.clear();
     for (const auto &done : confirms)
         done(answered);
-    if (!m_confirms.empty())
+    if (!m_confirms.empty() || m_mustAskService || feedSource()) {
         poll();
-    else
-        schedule(m_settings.pollInterval());
+        return;
+    }
+    const auto pause = m_settings.pollInterval();
+    schedule(m_link.isAsked(2 * pause)
+                 ? std::chrono::duration_cast<std::chrono::milliseconds>(askedPollPart * pause)
+                 : pause);
 }
 
 void store_follower::apply(const kv_item &item)
@@ -310,6 +432,8 @@
         logEvent(log_level::info, "instance_gone", {{"instance", id}});
     } else if (startsWith(key, m_layout.orderPrefix)) {
         m_dirty = m_rollouts.dropOrder(key.substr(m_layout.orderPrefix.size())) || m_dirty;
+    } else if (startsWith(key, m_layout.ownPrefix + hostsName)) {
+        m_hosts.erase(key.substr((m_layout.ownPrefix + hostsName).size()));
     }
 }
 
@@ -375,6 +499,11 @@
                   {"revision", std::to_string(item.revision)}});
         return;
     }
+    if (startsWith(name, hostsName)) {
+        const std::string host = name.substr(std::string(hostsName).size());
+        m_hosts[host] = decodeFeedHost(host, item.value);
+        return;
+    }
     const std::size_t kind = name.find('/');
     const std::size_t slash = name.rfind('/');
     if (kind == slash)
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -5,8 +5,11 @@
 /// Follows what the key-value service holds for this system, and moves roll-outs on.
 ///
 /// start() reads everything once; after that one feed of changes is asked for at a steady pace,
-/// whatever changed. Every change of belief is published as a new routing_view. The configuration
-/// never goes back to a lower version within one process. All on the control thread.
+/// whatever changed. The feed is asked of another host of the failure domain (feed_link), so that
+/// the calls to the service do not grow with the fleet; the first host of the domain, and any other
+/// that gets no answer, asks the service itself. Every change of belief is published as a new
+/// routing_view. The configuration never goes back to a lower version within one process. All on
+/// the control thread.
 
 #include <functional>
 #include <map>
@@ -14,6 +17,8 @@
 #include <set>
 
 #include "goldcrestdeck/async_kv_store.h"
+#include "goldcrestdeck/feed_link.h"
+#include "goldcrestdeck/host_registration.h"
 #include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/rollout_member.h"
 #include "goldcrestdeck/router_settings.h"
@@ -52,6 +57,8 @@
 
     void start();
     void stop();
+    /// The process is to stop: other hosts should ask elsewhere.
+    void leave();
     void setSettings(const router_settings &settings);
 
     /// Asks the service now whether anything has changed. \a done gets false if it did not answer.
@@ -62,6 +69,7 @@
     bool hasConfig() const { return m_config != nullptr; }
 
 private:
+    enum class feed_origin { service, host };
     struct range_read {
         std::vector<std::string> prefixes;
         std::size_t next = 0;
@@ -72,11 +80,17 @@
 
     void schedule(std::chrono::milliseconds wait);
     void poll();
+    void askHost(const feed_host &host);
+    void onNews(const feed_host &host, const feed_news &news);
+    /// The host to ask for changes, or nothing while it is this host's part to ask the service.
+    std::optional<feed_host> feedSource();
+    void noteSource(const std::string &name);
+    bool isRepeat(const kv_item &known, const kv_item &next) const;
     void readAll();
     void readPage(const std::shared_ptr<range_read> &read, const std::string &after);
     void onPage(const std::shared_ptr<range_read> &read, const kv_page &page);
     void onAllRead(const range_read &read);
-    void onChanges(const kv_changes &changes, time_point sentAt);
+    void onChanges(const kv_changes &changes, time_point sentAt, feed_origin origin);
     void onContact(time_point sentAt);
     void onNoAnswer(kv_outcome outcome);
     void finishConfirms(bool answered);
@@ -106,8 +120,20 @@
     session_source m_sessions;
 
     one_shot_timer m_timer;
+    feed_host m_self;
+    feed_memory m_memory;
+    feed_link m_link;
+    host_registration m_registration;
+    std::map<std::string, feed_host> m_hosts;         ///< Those that have registered, by name.
+    std::map<std::string, time_point> m_avoidedUntil; ///< Hosts that did not answer, by name.
+    std::string m_source;                             ///< The host that is asked; empty: none.
+    std::uint64_t m_question = 0; ///< Number of the question to a host that is open or was last.
+
     bool m_stopped = false;
     bool m_polling = false;
+    bool m_mustAskService = false; ///< The next poll may not be a question to another host.
+    bool m_registered = false;
+    bool m_asking = false;         ///< What is out is a question to another host.
     bool m_readEverything = false; ///< A whole read has succeeded and the feed follows it.
     bool m_reachable = true;
     bool m_regained = false; ///< The present answer is the first one after an outage.
--- a/goldcrestdeck/testing/peer_link_test.cc
+++ b/goldcrestdeck/testing/peer_link_test.cc
@@ -75,7 +75,10 @@
 class peer_link_fixture : public testing::Test
 {
 protected:
-    static peer_body refuseAll(const peer_body &) { throw peer_error("not a request"); }
+    static void refuseAll(const peer_body &, const peer_link::replier &)
+    {
+        throw peer_error("not a request");
+    }
 
     ping_message pingOf(const std::string &host)
     {
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -215,6 +215,7 @@
             return;
         m_draining = true;
         logEvent(log_level::info, "stopping", {});
+        m_follower.leave();
         asio::post(m_traffic, [this] {
             m_drainTimes.started = m_clock.now();
             m_drainTimes.stopTime = m_settings.stopTime - stopReserve;
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -75,10 +75,41 @@
 
 void platform_store::put(const std::string &key, const std::string &value)
 {
-    m_items[key] = {value, ++m_revision};
+    m_items[key] = {value, ++m_revision, 0};
     m_changes.push_back({key, value, m_revision, false});
 }
 
+void platform_store::endLeases()
+{
+    for (auto &entry : m_leases)
+        entry.second.ends = {};
+    expireLeases();
+}
+
+void platform_store::expireLeases()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto i = m_leases.begin(); i != m_leases.end();) {
+        if (i->second.ends > now) {
+            ++i;
+            continue;
+        }
+        removeUnder(i->first);
+        i = m_leases.erase(i);
+    }
+}
+
+void platform_store::removeUnder(std::uint64_t lease)
+{
+    std::vector<std::string> keys;
+    for (const auto &entry : m_items) {
+        if (entry.second.lease == lease)
+            keys.push_back(entry.first);
+    }
+    for (const std::string &key : keys)
+        remove(key);
+}
+
 void platform_store::remove(const std::string &key)
 {
     if (m_items.erase(key) > 0)
@@ -95,6 +126,7 @@
                             const std::shared_ptr<raw_connection> &connection)
 {
     ++m_calls;
+    expireLeases();
     if (m_faults.silent)
         return;
     if (m_faults.reset) {
@@ -111,6 +143,10 @@
             answer = watch(query);
         else if (target.rfind("/api/kv-txn", 0) == 0)
             answer = transact(request.body());
+        else if (target.rfind("/api/kv-lease", 0) == 0)
+            answer = grant(request.body());
+        else if (target.rfind("/api/kv-keep/", 0) == 0)
+            answer = renew(target);
         else
             answer = {404, "{}"};
     }
@@ -181,11 +217,16 @@
             return {412, R"({"items":[]})"};
     }
     const json_value writes = document.get("set-keys");
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        const std::uint64_t lease = writes.at(i).integer("lease");
+        if (lease != 0 && m_leases.count(lease) == 0)
+            return {404, "{}"};
+    }
     ++m_revision;
     for (std::size_t i = 0; i < writes.size(); ++i) {
         const std::string key = writes.at(i).string("key");
         const std::string value = platform::decodeBase64(writes.at(i).string("value"));
-        m_items[key] = {value, m_revision};
+        m_items[key] = {value, m_revision, writes.at(i).integer("lease")};
         m_changes.push_back({key, value, m_revision, false});
     }
     json_value result = json_value::object();
@@ -193,4 +234,25 @@
     return {200, result.dump()};
 }
 
+platform_store::reply platform_store::grant(const std::string &body)
+{
+    const std::chrono::milliseconds lifetime(json_value::parse(body).integer("ttl-ms"));
+    const std::uint64_t number = ++m_lastLease;
+    m_leases[number] = {lifetime, std::chrono::steady_clock::now() + lifetime};
+    json_value document = json_value::object();
+    document.set("lease", number);
+    document.set("ttl-ms", static_cast<std::uint64_t>(lifetime.count()));
+    return {200, document.dump()};
+}
+
+platform_store::reply platform_store::renew(const std::string &target)
+{
+    const auto found
+        = m_leases.find(std::strtoull(target.c_str() + target.rfind('/') + 1, nullptr, 10));
+    if (found == m_leases.end())
+        return {404, "{}"};
+    found->second.ends = std::chrono::steady_clock::now() + found->second.lifetime;
+    return {200, "{}"};
+}
+
 } // namespace standins
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -33,6 +33,8 @@
     void remove(const std::string &key);
     /// The value of a key, or empty.
     std::string value(const std::string &key) const;
+    /// Ends all leases, and removes what stands under them.
+    void endLeases();
     /// Forgets all changes so far.
     void compact() { m_compacted = m_revision; }
     void setFaults(const store_faults &faults) { m_faults = faults; }
@@ -42,6 +44,7 @@
     struct item {
         std::string value;
         std::uint64_t revision = 0;
+        std::uint64_t lease = 0;
     };
     struct change {
         std::string key;
@@ -59,11 +62,22 @@
     reply range(const std::map<std::string, std::string> &query) const;
     reply watch(const std::map<std::string, std::string> &query) const;
     reply transact(const std::string &body);
+    reply grant(const std::string &body);
+    reply renew(const std::string &target);
+    void removeUnder(std::uint64_t lease);
+    void expireLeases();
+
+    struct lease {
+        std::chrono::milliseconds lifetime{0};
+        std::chrono::steady_clock::time_point ends;
+    };
 
     std::map<std::string, item> m_items;
+    std::map<std::uint64_t, lease> m_leases;
     std::deque<change> m_changes;
     std::uint64_t m_revision = 1;
     std::uint64_t m_compacted = 0;
+    std::uint64_t m_lastLease = 0;
     store_faults m_faults;
     std::size_t m_calls = 0;
     raw_server m_server;
