Logs by request id, a router's belief, and an end without the log's reader

Cause: an on-call engineer had to grep the hosts' files by hand and could not see what a router believes; a reader that stops reading kept the process from ending (the new test hangs with spdlog::shutdown alone). Change: goldcrestctl trace ID FILE... [--around MS], goldcrestctl router ADDRESS (/belief beside the metrics), stopLog() waits half a second at most. Tests: a full pipe blocks neither 3,000 requests nor the end.

--- a/goldcrestdeck/log.cc
+++ b/goldcrestdeck/log.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <mutex>
+#include <thread>
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -20,6 +22,8 @@
 constexpr std::size_t queuedLines = 2048;
 /// How often the lines written are handed to the reader.
 constexpr std::chrono::seconds flushInterval{1};
+/// For the reader to take what is queued when the process ends; well inside the time to stop.
+constexpr std::chrono::milliseconds stopPatience{500};
 /// Lines of ordinary events in a second; a busy host serves some dozens of requests a second.
 constexpr int maxLinesPerSecond = 500;
 
@@ -107,9 +111,15 @@
     limited = true;
 }
 
-void stopLog()
+bool stopLog()
 {
-    spdlog::shutdown();
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> written = done->get_future();
+    std::thread([done] {
+        spdlog::shutdown();
+        done->set_value();
+    }).detach();
+    return written.wait_for(stopPatience) == std::future_status::ready;
 }
 
 void logEvent(log_level level, const std::string &event, const std::vector<log_field> &fields)
--- a/goldcrestdeck/log.h
+++ b/goldcrestdeck/log.h
@@ -26,8 +26,9 @@
 
 /// Sends the lines to standard output through a queue; call stopLog() before the process ends.
 void initQueuedLog(const std::string &host, log_level lowest);
-/// Writes out what is queued.
-void stopLog();
+/// Writes out what is queued, as far as the reader takes it within half a second. \returns false if
+/// it does not: the writing thread hangs, and the process has to end without its static objects.
+bool stopLog();
 
 /// \a event is a stable name in snake case.
 void logEvent(log_level level, const std::string &event, const std::vector<log_field> &fields = {});
--- /dev/null
+++ b/goldcrestdeck/log_search.cc
@@ -0,0 +1,69 @@
+#include "goldcrestdeck/log_search.h"
+
+#include <algorithm>
+#include <ctime>
+#include <iomanip>
+#include <set>
+#include <sstream>
+
+#include "goldcrestdeck/json.h"
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Reads "2026-12-04T06:22:50.243Z".
+std::chrono::milliseconds timeOf(const std::string &text)
+{
+    std::tm parts{};
+    std::istringstream in(text);
+    char dot = 0;
+    long milliseconds = 0;
+    in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S") >> dot >> milliseconds;
+    if (in.fail() || dot != '.')
+        throw json_error("'" + text + "' is not a time");
+    return std::chrono::seconds(timegm(&parts)) + std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+void log_search::add(const std::string &line)
+{
+    const std::size_t begin = line.find('{');
+    try {
+        const std::string text = begin == std::string::npos ? "" : line.substr(begin);
+        const json_value row = json_value::parse(text);
+        m_lines.push_back({timeOf(row.string("time")), row.string("host"),
+                           row.string("request", ""), row.string("event"), text});
+    } catch (const json_error &) {
+        ++m_unreadable;
+    }
+}
+
+std::vector<log_line> log_search::find(const std::string &request,
+                                       std::chrono::milliseconds around) const
+{
+    std::vector<log_line> found;
+    std::set<std::string> hosts;
+    std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(found),
+                 [&](const log_line &line) { return line.request == request; });
+    if (found.empty())
+        return found;
+    const auto isEarlier = [](const log_line &a, const log_line &b) { return a.at < b.at; };
+    std::stable_sort(found.begin(), found.end(), isEarlier);
+    for (const log_line &line : found)
+        hosts.insert(line.host);
+    const auto from = found.front().at - around;
+    const auto until = found.back().at + around;
+    if (around.count() > 0) {
+        std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(found),
+                     [&](const log_line &line) {
+                         return line.request.empty() && hosts.count(line.host) > 0
+                             && line.at >= from && line.at <= until;
+                     });
+        std::stable_sort(found.begin(), found.end(), isEarlier);
+    }
+    return found;
+}
+
+} // namespace goldcrestdeck
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -624,6 +624,50 @@
     });
 }
 
+json_value store_follower::describe() const
+{
+    const time_point now = m_clock.now();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastContact);
+    json_value belief = json_value::object();
+    belief.set("host", m_settings.name);
+    belief.set("config_version", m_config ? m_config->version() : 0);
+    belief.set("store_revision", m_revision);
+    belief.set("confirmed_ms_ago", static_cast<std::uint64_t>(std::max<long>(0, age.count())));
+    belief.set("store_reachable", m_reachable);
+    belief.set("hears_from", m_source.empty() ? "store" : m_source);
+    json_value instances = json_value::array();
+    for (const instance &entry : m_instances.list()) {
+        json_value row = json_value::object();
+        row.set("instance", entry.id);
+        row.set("service", entry.service);
+        row.set("version", entry.version);
+        row.set("address", entry.address);
+        row.set("state", entry.draining ? "draining" : "ready");
+        instances.append(row);
+    }
+    belief.set("instances", instances);
+    json_value rollouts = json_value::array();
+    for (const auto &entry : m_rollouts.view(now)) {
+        json_value row = json_value::object();
+        row.set("service", entry.first);
+        row.set("target", entry.second.order.target);
+        row.set("stage", toString(entry.second.record.stage));
+        row.set("judged_bad_here", entry.second.judgedBad ? "yes" : "no");
+        rollouts.append(row);
+    }
+    belief.set("rollouts", rollouts);
+    json_value hosts = json_value::array();
+    for (const auto &entry : m_hosts) {
+        json_value row = json_value::object();
+        row.set("host", entry.first);
+        row.set("address", entry.second.address);
+        row.set("failure_domain", entry.second.failureDomain);
+        hosts.append(row);
+    }
+    belief.set("hosts", hosts);
+    return belief;
+}
+
 std::size_t store_follower::instancesOf(const rollout_order &order) const
 {
     const auto known = m_instances.list();
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -19,6 +19,7 @@
 #include "goldcrestdeck/async_kv_store.h"
 #include "goldcrestdeck/feed_link.h"
 #include "goldcrestdeck/host_registration.h"
+#include "goldcrestdeck/json.h"
 #include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/rollout_member.h"
 #include "goldcrestdeck/router_settings.h"
@@ -68,6 +69,10 @@
 
     bool hasConfig() const { return m_config != nullptr; }
 
+    /// What this host believes, for operators: configuration, where it hears of changes, instances,
+    /// roll-outs and hosts, as a JSON object.
+    json_value describe() const;
+
 private:
     enum class feed_origin { service, host };
     struct range_read {
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -7,7 +7,11 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <fcntl.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "goldcrestdeck/json.h"
 #include "goldcrestdeck/testing/process_cluster.h"
@@ -103,7 +107,8 @@
                              "tenants": [{"name": "w1", "api-keys": ["key-1"]}]})");
     }
 
-    void startHost(int index)
+    /// \a log gets standard output; by default a file of its own.
+    void startHost(int index, const std::string &log = "")
     {
         const std::vector<int> ports = freePorts(4);
         const std::string path = m_folder + "/settings-" + std::to_string(index) + ".json";
@@ -121,7 +126,7 @@
         started.clients = loopback(ports[0]);
         started.ready = loopback(ports[1]);
         started.metrics = loopback(ports[3]);
-        started.log = m_folder + "/h" + std::to_string(index) + ".log";
+        started.log = log.empty() ? m_folder + "/h" + std::to_string(index) + ".log" : log;
         started.process = std::make_unique<child_process>(
             std::vector<std::string>{std::string(BINARY_DIR) + "/goldcrest_routerd", "--settings",
                                      path},
@@ -234,6 +239,67 @@
         EXPECT_EQ(1U, requests.count(request)) << request;
 }
 
+TEST_F(router_process_fixture, reader_that_takes_no_log_lines_blocks_nothing)
+{
+    const std::string pipe = m_folder + "/unread";
+    ASSERT_EQ(0, mkfifo(pipe.c_str(), 0600));
+    // Open and never read: the pipe and then the queue behind it fill up.
+    const int reader = open(pipe.c_str(), O_RDWR);
+    startHost(2, pipe);
+    byte_client client(m_hosts[2].clients);
+    for (int i = 0; i < 3000; ++i) {
+        client.send(requestText("GET", "/safe/x", "r" + std::to_string(i)));
+        ASSERT_EQ(200U, client.read().result_int()) << i;
+    }
+    int unread = 0;
+    ioctl(reader, FIONREAD, &unread);
+    EXPECT_GT(unread, 60'000);
+    client.close();
+    m_hosts[2].process->signal(SIGTERM);
+    EXPECT_EQ(0, m_hosts[2].process->wait());
+    close(reader);
+}
+
+TEST_F(router_process_fixture, belief_is_shown_to_operators)
+{
+    byte_client client(m_hosts[0].metrics);
+    client.send("GET /belief HTTP/1.1\r\nHost: x\r\n\r\n");
+    const json_value belief = json_value::parse(client.read().body());
+    EXPECT_EQ("h0", belief.string("host"));
+    EXPECT_EQ(1U, belief.integer("config_version"));
+    EXPECT_TRUE(belief.boolean("store_reachable"));
+    EXPECT_EQ(3U, belief.get("instances").size());
+    EXPECT_EQ(0U, belief.get("rollouts").size());
+    std::ostringstream address;
+    address << m_hosts[0].metrics;
+    const std::string program = std::string(BINARY_DIR) + "/goldcrestctl";
+    const std::string shown = m_folder + "/shown.txt";
+    child_process operators({program, "router", address.str()}, m_folder + "/ctl.log", shown);
+    EXPECT_EQ(0, operators.wait());
+    std::ifstream file(shown);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    for (const char *word : {"config_version", "e1", "engine", "ready", "hears_from"})
+        EXPECT_NE(std::string::npos, text.find(word)) << text;
+}
+
+TEST_F(router_process_fixture, log_lines_of_a_request_are_collected_from_files)
+{
+    ask(1, requestText("GET", "/safe/x", "wanted"));
+    m_hosts[1].process->signal(SIGTERM);
+    EXPECT_EQ(0, m_hosts[1].process->wait());
+    const std::string program = std::string(BINARY_DIR) + "/goldcrestctl";
+    const std::string shown = m_folder + "/shown.txt";
+    child_process operators({program, "trace", "wanted", m_hosts[0].log, m_hosts[1].log},
+                            m_folder + "/ctl.log", shown);
+    EXPECT_EQ(0, operators.wait());
+    std::ifstream file(shown);
+    std::string line;
+    ASSERT_TRUE(std::getline(file, line));
+    EXPECT_EQ("request_done", json_value::parse(line).string("event"));
+    child_process none({program, "trace", "nobody", m_hosts[0].log}, m_folder + "/ctl.log");
+    EXPECT_EQ(1, none.wait());
+}
+
 TEST_F(router_process_fixture, new_configuration_is_in_force_and_an_older_one_is_ignored)
 {
     onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
@@ -270,6 +336,86 @@
         eventually([&] { return ask(1, requestText("GET", "/new/x", "a")).result_int() == 200; }));
 }
 
+/// Which of the two hosts asks the other for changes; -1: none yet.
+class feed_process_fixture : public router_process_fixture
+{
+protected:
+    bool logs(int index, const std::string &text)
+    {
+        std::ifstream file(m_hosts[index].log);
+        for (std::string line; std::getline(file, line);) {
+            if (line.find(text) != std::string::npos)
+                return true;
+        }
+        return false;
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(eventually([&] {
+            for (int i = 0; i < 2; ++i) {
+                if (logs(i, R"("event":"feed_source","host":"h)"))
+                    m_asker = i;
+            }
+            return m_asker >= 0;
+        }));
+        m_asked = 1 - m_asker;
+    }
+
+    bool isServed(int index, const std::string &path)
+    {
+        return ask(index, requestText("GET", path, "n")).result_int() == 200;
+    }
+
+    int m_asker = -1;
+    int m_asked = -1;
+};
+
+TEST_F(feed_process_fixture, change_told_by_another_host_is_in_force_and_its_end_is_noticed)
+{
+    onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
+    EXPECT_TRUE(eventually([&] { return isServed(m_asker, "/new/x"); }));
+    m_hosts[m_asked].process->signal(SIGKILL);
+    m_hosts[m_asked].process->wait();
+    onLoop([&] { putConfig(6, {"/once/", "/newer/"}); });
+    EXPECT_TRUE(eventually([&] { return isServed(m_asker, "/newer/x"); }));
+    EXPECT_TRUE(
+        eventually([&] { return logs(m_asker, R"("event":"feed_source","host":"store")"); }));
+}
+
+TEST_F(feed_process_fixture, frozen_host_does_not_keep_a_change_from_those_that_ask_it)
+{
+    m_hosts[m_asked].process->signal(SIGSTOP);
+    onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
+    // Without a request that would make the host ask: a known route that is dropped.
+    std::this_thread::sleep_for(milliseconds(800));
+    EXPECT_EQ(404, ask(m_asker, requestText("GET", "/safe/x", "a")).result_int());
+    EXPECT_TRUE(isServed(m_asker, "/new/x"));
+    m_hosts[m_asked].process->signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return isServed(m_asked, "/new/x"); }));
+}
+
+TEST_F(feed_process_fixture, host_that_is_asked_to_stop_tells_nothing_more_and_cuts_nothing)
+{
+    m_hosts[m_asked].process->signal(SIGTERM);
+    onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
+    EXPECT_TRUE(eventually([&] { return isServed(m_asker, "/new/x"); }));
+    EXPECT_EQ(0, m_hosts[m_asked].process->wait());
+}
+
+TEST_F(feed_process_fixture, lost_leases_are_taken_anew)
+{
+    onLoop([&] { m_store.endLeases(); });
+    EXPECT_TRUE(eventually([&] { return stored("goldcrestdeck/hosts/h0").empty(); }));
+    onLoop([&] { putConfig(5, {"/once/", "/new/"}); });
+    for (int i = 0; i < 2; ++i)
+        EXPECT_TRUE(eventually([&] { return isServed(i, "/new/x"); }));
+    EXPECT_TRUE(eventually([&] {
+        return !stored("goldcrestdeck/hosts/h0").empty()
+            && !stored("goldcrestdeck/hosts/h1").empty();
+    }));
+}
+
 TEST_F(router_process_fixture, leaving_instance_gets_nothing_new)
 {
     onLoop([&] { addRunner("plain", "p2", "v1"); });
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -34,6 +34,8 @@
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
 constexpr const char *version = "goldcrest_routerd 0.2";
+/// Beside the metrics: what this host believes, as JSON for goldcrestctl.
+constexpr const char *beliefPath = "/belief";
 
 /// How often a settings file that changed without a signal is noticed.
 constexpr std::chrono::milliseconds settingsPoll{2000};
@@ -88,10 +90,14 @@
                   [this](const http1_request &, const std::shared_ptr<http_answer> &answer) {
                       answerReady(*answer);
                   })
-        , m_metrics(m_control, parseEndpoint(m_settings.metricsAddress), client_limits(),
-                    [this](const http1_request &, const std::shared_ptr<http_answer> &answer) {
-                        answer->send(textResponse(http::status::ok, m_counters.serialize()));
-                    })
+        , m_metrics(
+              m_control, parseEndpoint(m_settings.metricsAddress), client_limits(),
+              [this](const http1_request &request, const std::shared_ptr<http_answer> &answer) {
+                  const bool asksBelief = request.target() == beliefPath;
+                  answer->send(textResponse(http::status::ok,
+                                            asksBelief ? m_follower.describe().dump()
+                                                       : m_counters.serialize()));
+              })
         , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
         , m_settingsTimer(m_control)
         , m_drainTimer(m_traffic)
@@ -329,7 +335,9 @@
         std::signal(SIGPIPE, SIG_IGN);
         initQueuedLog(settings.name, log_level::info);
         router(settings, path).run();
-        stopLog();
+        // A reader that no longer reads its lines must not keep the process.
+        if (!stopLog())
+            std::_Exit(0);
         return 0;
     } catch (const settings_error &error) {
         std::cerr << "goldcrest_routerd: " << error.what() << '\n';
--- a/programs/goldcrestctl.cc
+++ b/programs/goldcrestctl.cc
@@ -9,6 +9,9 @@
 
 #include <boost/program_options.hpp>
 
+#include "goldcrestdeck/http_client.h"
+#include "goldcrestdeck/json.h"
+#include "goldcrestdeck/log_search.h"
 #include "goldcrestdeck/operator_client.h"
 
 namespace goldcrestdeck {
@@ -36,6 +39,9 @@
   explain WORKSPACE [MODEL] [CLASS]
                                which version a request would get, and why
   trace TRACE_ID               the spans of one trace on this host
+  trace REQUEST_ID FILE...     what log files say of one request, by time, with what its hosts learned
+                               or lost within --around of it; needs no host
+  router ADDRESS               what a router daemon believes; ADDRESS is ip:port of its metrics
 
 Exit codes: 0 done and in force, 1 failed, 2 usage, 3 rejected and nothing applied,
 4 stored but not yet in force everywhere, 5 no answer.
@@ -46,6 +52,7 @@
     std::string host;
     std::string token;
     output_format format = output_format::aligned;
+    std::chrono::milliseconds around{0};
 };
 
 class usage_error : public std::runtime_error
@@ -197,6 +204,68 @@
     return exitDone;
 }
 
+int traceFiles(const command_line &line)
+{
+    log_search search;
+    for (std::size_t i = 2; i < line.words.size(); ++i) {
+        std::istringstream lines(readFile(line.words[i]));
+        for (std::string text; std::getline(lines, text);)
+            search.add(text);
+    }
+    const std::vector<log_line> found = search.find(line.words[1], line.around);
+    for (const log_line &entry : found)
+        std::cout << entry.text << '\n';
+    if (search.unreadable() > 0)
+        std::cerr << "goldcrestctl: " << search.unreadable() << " lines could not be read\n";
+    if (found.empty())
+        std::cerr << "goldcrestctl: no line names " << line.words[1] << '\n';
+    return found.empty() ? exitFailed : exitDone;
+}
+
+row_set rowsOf(const json_value &list, const std::vector<std::string> &columns)
+{
+    row_set rows{columns, {}};
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        std::vector<std::string> cells;
+        for (const std::string &column : columns)
+            cells.push_back(list.at(i).string(column.c_str()));
+        rows.rows.push_back(cells);
+    }
+    return rows;
+}
+
+int routerBelief(const command_line &line)
+{
+    http_request request;
+    request.url = "http://" + wordAt(line, 1, "ADDRESS") + "/belief";
+    const http_response response = http_client().send(request);
+    const json_value belief = json_value::parse(response.body);
+    row_set summary{{"belief", "value"}, {}};
+    for (const char *name : {"host", "hears_from"})
+        summary.rows.push_back({name, belief.string(name)});
+    for (const char *name : {"config_version", "store_revision", "confirmed_ms_ago"})
+        summary.rows.push_back({name, std::to_string(belief.integer(name))});
+    summary.rows.push_back({"store_reachable", belief.boolean("store_reachable") ? "yes" : "no"});
+    std::cout << renderRows(summary, line.format) << '\n'
+              << renderRows(rowsOf(belief.get("instances"),
+                                   {"instance", "service", "version", "address", "state"}),
+                            line.format)
+              << '\n'
+              << renderRows(rowsOf(belief.get("rollouts"),
+                                   {"service", "target", "stage", "judged_bad_here"}),
+                            line.format)
+              << '\n'
+              << renderRows(rowsOf(belief.get("hosts"), {"host", "address", "failure_domain"}),
+                            line.format);
+    return exitDone;
+}
+
+bool needsNoHost(const command_line &line)
+{
+    return line.words.front() == "router"
+        || (line.words.front() == "trace" && line.words.size() > 2);
+}
+
 command_line parseCommandLine(int argc, char **argv)
 {
     options::options_description visible("Options");
@@ -206,7 +275,9 @@
         "token",
         options::value<std::string>()->default_value(fromEnvironment("GOLDCREST_TOKEN"), ""),
         "the operator's token; better as GOLDCREST_TOKEN")(
-        "output", options::value<std::string>()->default_value("table"), "table, csv or json");
+        "output", options::value<std::string>()->default_value("table"),
+        "table, csv or json")("around", options::value<unsigned>()->default_value(0),
+                              "with trace and files: milliseconds around the request");
     options::options_description all;
     all.add(visible).add_options()("words", options::value<std::vector<std::string>>());
     options::positional_options_description positions;
@@ -223,7 +294,8 @@
     line.host = values["host"].as<std::string>();
     line.token = values["token"].as<std::string>();
     line.format = formatOf(values["output"].as<std::string>());
-    if (line.host.empty())
+    line.around = std::chrono::milliseconds(values["around"].as<unsigned>());
+    if (line.host.empty() && !needsNoHost(line))
         throw usage_error("say which host with --host or GOLDCREST_HOST");
     return line;
 }
@@ -232,6 +304,8 @@
 {
     try {
         const command_line line = parseCommandLine(argc, argv);
+        if (needsNoHost(line))
+            return line.words.front() == "router" ? routerBelief(line) : traceFiles(line);
         operator_client client(line.host, line.token);
         return line.words.front() == "table" ? tableCommand(line, client)
                                              : rowsCommand(line, client);
@@ -244,6 +318,12 @@
     } catch (const table_error &error) {
         std::cerr << "goldcrestctl: " << error.what() << "; nothing was applied\n";
         return exitRejected;
+    } catch (const http_error &error) {
+        std::cerr << "goldcrestctl: " << error.what() << '\n';
+        return exitNoAnswer;
+    } catch (const json_error &error) {
+        std::cerr << "goldcrestctl: the answer cannot be read: " << error.what() << '\n';
+        return exitFailed;
     } catch (const operator_error &error) {
         std::cerr << "goldcrestctl: " << error.what() << '\n';
         return error.status() == 0 ? exitNoAnswer : exitFailed;
