--- a/measure/figures.h
+++ b/measure/figures.h
@@ -46,6 +46,7 @@
 void measureOverload(report &out);
 void measurePath(report &out);
 void measureControl(report &out);
+void measureEngines(report &out);
 
 } // namespace measure
 
--- a/measure/main.cc
+++ b/measure/main.cc
@@ -16,7 +16,8 @@
     const std::map<std::string, experiment> experiments
         = {{"1-quality", measure::measureQuality}, {"2-balance", measure::measureBalance},
            {"3-limits", measure::measureLimits},   {"4-overload", measure::measureOverload},
-           {"5-path", measure::measurePath},       {"6-control", measure::measureControl}};
+           {"5-path", measure::measurePath},       {"6-control", measure::measureControl},
+           {"7-engines", measure::measureEngines}};
     options::options_description described("goldcrest_measure [EXPERIMENT...]");
     described.add_options()("help", "show this text")(
         "folder", options::value<std::string>()->default_value("build/measure"),
