Bounds of the fleet are divided by its size

Cause: the slack of the budget for repeats was divided by 12 and that of the exposure by 8, whatever the fleet: 75 hosts could together spend six times the first and seven times the second. Change: both are divided by the most hosts that were known to be registered at once, at least 8; sends for a better answer may use 0.85.

--- a/goldcrestdeck/retry_allowance.cc
+++ b/goldcrestdeck/retry_allowance.cc
@@ -36,8 +36,8 @@
     const double ratio = m_parameters.ratio * m_parameters.margin;
     if (reason == repeat_reason::upgrade)
         return repeats + 1 <= ratio * m_parameters.upgradePart * requests;
-    return repeats + 1
-        <= ratio * requests + m_parameters.slack * m_parameters.margin / m_parameters.hosts;
+    return repeats + 1 <= ratio * requests
+        + m_parameters.slack * m_parameters.margin / static_cast<double>(m_parameters.hosts);
 }
 
 void retry_allowance::noteRepeat(time_point now)
--- a/goldcrestdeck/retry_allowance.h
+++ b/goldcrestdeck/retry_allowance.h
@@ -22,8 +22,8 @@
     /// Part of the ratio that is used: hosts see their requests a little later than clients.
     double margin = 0.85;
     /// Part of the ratio that sends for a better answer may use.
-    double upgradePart = 0.75;
-    unsigned hosts = 12; ///< Among which the slack is divided.
+    double upgradePart = 0.85;
+    std::size_t hosts = 8; ///< Among which the slack is divided.
 };
 
 enum class repeat_reason {
@@ -36,6 +36,8 @@
 public:
     explicit retry_allowance(retry_parameters parameters);
 
+    void setHosts(std::size_t hosts) { m_parameters.hosts = hosts; }
+
     void noteRequest(time_point now);
     bool mayRepeat(repeat_reason reason, time_point now) const;
     void noteRepeat(time_point now);
--- a/goldcrestdeck/routing_view.h
+++ b/goldcrestdeck/routing_view.h
@@ -30,10 +30,15 @@
     duration elapsed(time_point now) const { return record.elapsed + (now - seenAt); }
 };
 
+/// Taken until the hosts' registrations are known, and for smaller fleets.
+constexpr std::size_t leastFleetSize = 8;
+
 struct routing_view {
     std::shared_ptr<const routing_config> config;           ///< nullptr: none known yet.
     std::map<std::string, std::vector<instance>> instances; ///< By service.
     std::map<std::string, service_rollout> rollouts;        ///< By service.
+    /// Hosts among which bounds of the whole fleet are divided.
+    std::size_t fleetSize = leastFleetSize;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -502,6 +502,10 @@
     if (startsWith(name, hostsName)) {
         const std::string host = name.substr(std::string(hostsName).size());
         m_hosts[host] = decodeFeedHost(host, item.value);
+        if (m_hosts.size() > m_fleetSize) {
+            m_fleetSize = m_hosts.size();
+            m_dirty = true;
+        }
         return;
     }
     const std::size_t kind = name.find('/');
@@ -531,6 +535,7 @@
     for (const instance &entry : m_instances.list())
         view->instances[entry.service].push_back(entry);
     view->rollouts = m_rollouts.view(m_clock.now());
+    view->fleetSize = m_fleetSize;
     m_onView(view);
 }
 
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -129,7 +129,9 @@
     feed_memory m_memory;
     feed_link m_link;
     host_registration m_registration;
-    std::map<std::string, feed_host> m_hosts;         ///< Those that have registered, by name.
+    std::map<std::string, feed_host> m_hosts; ///< Those that have registered, by name.
+    /// The most that were known at once: registrations lapse in an outage, and hosts go on.
+    std::size_t m_fleetSize = leastFleetSize;
     std::map<std::string, time_point> m_avoidedUntil; ///< Hosts that did not answer, by name.
     std::string m_source;                             ///< The host that is asked; empty: none.
     std::uint64_t m_question = 0; ///< Number of the question to a host that is open or was last.
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -63,6 +63,8 @@
 void traffic_state::setView(std::shared_ptr<const routing_view> view)
 {
     m_view = std::move(view);
+    for (auto &entry : m_allowances)
+        entry.second.setHosts(m_view->fleetSize);
 }
 
 std::optional<chosen_instance> traffic_state::choose(const placement_request &request,
@@ -151,7 +153,8 @@
     const auto rollout = m_view->rollouts.find(request.service);
     if (rollout == m_view->rollouts.end())
         return;
-    const rollout_parameters parameters = rolloutParameters(m_settings);
+    rollout_parameters parameters = rolloutParameters(m_settings);
+    parameters.hosts = m_view->fleetSize;
     const std::uint64_t order = rollout->second.order.revision;
     auto meter = m_meters.find(request.service);
     if (meter == m_meters.end() || meter->second.first != order)
@@ -382,6 +385,7 @@
     parameters.ratio = m_settings.retryRatio;
     parameters.slack = m_settings.retrySlack;
     parameters.window = m_settings.retryWindow;
+    parameters.hosts = m_view->fleetSize;
     return m_allowances.emplace(service, retry_allowance(parameters)).first->second;
 }
 
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -283,8 +283,8 @@
 
 bool exposure_meter::mayExpose() const
 {
-    const double slack
-        = m_parameters.exposureSlack * m_parameters.slackPart / std::max(1U, m_parameters.hosts);
+    const double slack = m_parameters.exposureSlack * m_parameters.slackPart
+        / static_cast<double>(std::max<std::size_t>(1, m_parameters.hosts));
     return m_candidate + 1 <= m_parameters.exposureShare * 0.9 * m_all + slack;
 }
 
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -66,7 +66,7 @@
     std::chrono::milliseconds sessionsAfter{1000};
     /// Part of exposureSlack that all hosts together may use, and the hosts it is divided among.
     double slackPart = 0.8;
-    unsigned hosts = 8;
+    std::size_t hosts = 8;
     /// Parts of the duration at which the ramp begins, ends, and the order is completed. Sessions
     /// may not be moved in the first half.
     double rampFrom = 0.54;
