Small failure domains share one first host for the store's changes

Change: a domain of fewer than eight hosts asks in the order of the whole fleet; a test shows that no host asks in a circle.

--- a/goldcrestdeck/feed_memory.cc
+++ b/goldcrestdeck/feed_memory.cc
@@ -17,6 +17,14 @@
 
 namespace goldcrestdeck {
 
+namespace {
+
+/// Hosts of a failure domain from which they have a first host of their own. Fewer would save
+/// little beside the calls of that host, and ask across domains instead.
+constexpr long leastGroup = 8;
+
+} // namespace
+
 feed_memory::feed_memory(std::size_t maxDeletions, repeat_test isRepeat)
     : m_maxDeletions(maxDeletions)
     , m_isRepeat(std::move(isRepeat))
@@ -146,15 +154,20 @@
 std::vector<feed_host> hostsBefore(const feed_host &self,
                                    const std::map<std::string, feed_host> &hosts)
 {
-    const std::uint64_t key = XXH3_64bits(self.failureDomain.data(), self.failureDomain.size());
+    const auto isNear
+        = [&self](const feed_host &host) { return host.failureDomain == self.failureDomain; };
+    const auto near = std::count_if(hosts.begin(), hosts.end(),
+                                    [&](const auto &entry) { return isNear(entry.second); });
+    const bool isAlone = near < leastGroup;
+    const std::string group = isAlone ? "" : self.failureDomain;
+    const std::uint64_t key = XXH3_64bits(group.data(), group.size());
     const auto rankOf = [key](const feed_host &host) {
         return std::make_pair(rendezvousRank(key, host.name), host.name);
     };
     std::vector<feed_host> before;
     for (const auto &entry : hosts) {
         const feed_host &host = entry.second;
-        if (host.name != self.name && host.failureDomain == self.failureDomain
-            && rankOf(host) > rankOf(self))
+        if (host.name != self.name && (isAlone || isNear(host)) && rankOf(host) > rankOf(self))
             before.push_back(host);
     }
     std::sort(before.begin(), before.end(),
--- a/goldcrestdeck/feed_memory.h
+++ b/goldcrestdeck/feed_memory.h
@@ -81,9 +81,10 @@
 /// \throws json_error
 feed_host decodeFeedHost(const std::string &name, const std::string &text);
 
-/// The hosts that \a self asks for changes, best first: those of its failure domain that come
-/// before it in an order that all hosts share. The first of a domain has none and asks the service
-/// itself, and so does any other while those before it do not answer.
+/// The hosts that \a self asks for changes, best first: those that come before it in an order that
+/// all share, of its failure domain, or of the whole fleet where the domain has only a few. The
+/// first has none and asks the service itself, and so does any other while those before it do not
+/// answer.
 std::vector<feed_host> hostsBefore(const feed_host &self,
                                    const std::map<std::string, feed_host> &hosts);
 
--- a/goldcrestdeck/testing/feed_memory_test.cc
+++ b/goldcrestdeck/testing/feed_memory_test.cc
@@ -233,6 +233,28 @@
         EXPECT_EQ(1U, domain.second.size()) << domain.first;
 }
 
+TEST(hosts_before, small_domains_share_one_first_host_and_nobody_asks_in_a_circle)
+{
+    std::map<std::string, feed_host> hosts;
+    for (int i = 0; i < 24; ++i) {
+        const std::string name = "h" + std::to_string(i);
+        // Three domains of four hosts and one of twelve.
+        hosts[name] = {name, "10.0.0.1:1", i < 12 ? "d" + std::to_string(i % 3) : "large"};
+    }
+    std::set<std::string> firsts;
+    for (const auto &entry : hosts) {
+        std::string at = entry.first;
+        int steps = 0;
+        for (auto before = hostsBefore(hosts[at], hosts); !before.empty();
+             before = hostsBefore(hosts[at], hosts)) {
+            at = before.front().name;
+            ASSERT_LT(++steps, 24);
+        }
+        firsts.insert(at);
+    }
+    EXPECT_LE(firsts.size(), 2U);
+}
+
 TEST(feed_host, unreadable_registrations_are_rejected)
 {
     const feed_host host{"h", "10.0.0.1:7", "d"};
