A roll-out's elapsed time is kept, and load does not make a version slow

Change: a host that has followed the order keeps its own elapsed time; slow answers count from a quarter. Ruled out: conflicts of writers (none in the log), the order of patience alone (0.12 of the duration).

--- a/goldcrestdeck/rollout_member.cc
+++ b/goldcrestdeck/rollout_member.cc
@@ -68,7 +68,14 @@
     known_record &known = m_records[service];
     if (known.revision >= revision)
         return false;
-    known = {record, revision, now};
+    // A host that has followed the order knows better than the record, which it reads some time
+    // after it was written, how much time has passed.
+    time_point seenAt = now;
+    if (known.record.orderRevision == record.orderRevision) {
+        const duration ownElapsed = known.record.elapsed + (now - known.seenAt);
+        seenAt -= std::max<duration>(ownElapsed - record.elapsed, duration(0));
+    }
+    known = {record, revision, seenAt};
     return true;
 }
 
--- a/goldcrestdeck/testing/rollout_model_test.cc
+++ b/goldcrestdeck/testing/rollout_model_test.cc
@@ -336,6 +336,30 @@
     rollout_member m_member{"h0", rolloutParameters(modelSettings())};
 };
 
+TEST_F(large_fleet_fixture, some_slow_answers_do_not_make_a_bad_version_and_many_do)
+{
+    version_tally established;
+    established.byRoute["r"] = {40, 0, 0};
+    version_tally candidate;
+    candidate.byRoute["r"] = {72, 0, 9};
+    EXPECT_FALSE(isBadVersion(candidate, established));
+    candidate.byRoute["r"] = {72, 0, 30};
+    EXPECT_TRUE(isBadVersion(candidate, established));
+}
+
+TEST_F(large_fleet_fixture, time_since_the_order_is_not_lost_with_each_record_that_is_read_late)
+{
+    // Each record is read 700 ms after it was written, at the time it says.
+    for (int i = 1; i <= 5; ++i) {
+        m_time.advance(seconds(4) + milliseconds(700));
+        const std::chrono::milliseconds written = i * seconds(4) + (i - 1) * milliseconds(700);
+        m_member.noteRecord("engine", {7, "v2", rollout_stage::canary, written}, 8 + i,
+                            m_time.now());
+    }
+    const auto view = m_member.view(m_time.now());
+    EXPECT_GE(view.at("engine").elapsed(m_time.now()), 5 * (seconds(4) + milliseconds(700)));
+}
+
 TEST_F(large_fleet_fixture, few_hosts_with_bad_answers_do_not_make_a_bad_version)
 {
     EXPECT_FALSE(isJudgedBad(8, 1));
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -22,6 +22,9 @@
 /// Share of bad answers from which a version may be bad, over all routes and on one.
 constexpr double badShare = 0.12;
 constexpr double badRouteShare = 0.25;
+/// Share of slow answers below which load explains them: once the new version has all requests, the
+/// other one's times are of another load, as after a crash of some of its instances.
+constexpr double slowShare = 0.25;
 /// How many times the other version's share of bad answers it must have.
 constexpr double badRatio = 3;
 /// Answers that the prior on the other version's share is worth.
@@ -36,7 +39,8 @@
 
 bool isBad(const answer_tally &candidate, const answer_tally &other, double share)
 {
-    const double bad = candidate.failures + candidate.slow;
+    const bool isSlow = candidate.slow >= slowShare * candidate.answers;
+    const double bad = candidate.failures + (isSlow ? candidate.slow : 0);
     const double otherShare = (other.failures + other.slow) / (other.answers + priorAnswers);
     return bad >= minBadAnswers && bad >= share * candidate.answers
         && bad >= badRatio * otherShare * candidate.answers;
