An order that is given again in the same words reaches hosts that ask others

Cause, found on reading: equal values counted as repeats for every key, so an order written anew with the same content, which is a new order by its revision, was never told on. Only instances' registrations repeat themselves. A reading also drops hosts that it no longer names. New process test fails before, passes after.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -168,10 +168,12 @@
 
 bool store_follower::isRepeat(const kv_item &known, const kv_item &next) const
 {
-    if (known.value == next.value)
-        return true;
+    // Only instances write without meaning anything by it: an order that is given again, say, is a
+    // new one.
     if (!startsWith(next.key, m_layout.instancePrefix))
         return false;
+    if (known.value == next.value)
+        return true;
     try {
         return m_layout.decodeInstance(known.key, known.value)
             == m_layout.decodeInstance(next.key, next.value);
@@ -266,6 +268,7 @@
     std::set<std::string> keys;
     m_memory.replaceAll(read.items, read.revision);
     m_mustAskService = true;
+    m_hosts.clear();
     for (const kv_item &item : read.items) {
         keys.insert(item.key);
         if (!startsWith(item.key, m_layout.instancePrefix)) {
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -403,6 +403,22 @@
     EXPECT_EQ(0, m_hosts[m_asked].process->wait());
 }
 
+TEST_F(feed_process_fixture, order_that_is_given_again_in_the_same_words_reaches_those_that_ask)
+{
+    const auto ordersSeen = [&] {
+        std::ifstream file(m_hosts[m_asker].log);
+        int seen = 0;
+        for (std::string line; std::getline(file, line);)
+            seen += line.find(R"("event":"rollout_ordered")") != std::string::npos ? 1 : 0;
+        return seen;
+    };
+    const std::string order = R"({"service": "plain", "target": "v2", "duration-s": 30})";
+    for (int times = 1; times <= 2; ++times) {
+        onLoop([&] { m_store.put("op/rollout/plain", order); });
+        EXPECT_TRUE(eventually([&] { return ordersSeen() == times; })) << times;
+    }
+}
+
 TEST_F(feed_process_fixture, lost_leases_are_taken_anew)
 {
     onLoop([&] { m_store.endLeases(); });
