--- a/programs/goldcrestctl.cc
+++ b/programs/goldcrestctl.cc
@@ -227,6 +227,7 @@
     row_set rows{columns, {}};
     for (std::size_t i = 0; i < list.size(); ++i) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (const std::string &column : columns)
             cells.push_back(list.at(i).string(column.c_str()));
         rows.rows.push_back(cells);
