--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -114,7 +114,7 @@
 
 std::optional<feed_host> store_follower::feedSource()
 {
-    // Whoever waits for a confirmation wants the service's own word.
+    // A confirmation has to come from the service itself, not through another host.
     if (!m_confirms.empty())
         return std::nullopt;
     const time_point now = m_clock.now();
