--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -489,6 +489,9 @@
             return;
         }
         if (m_mode == response_mode::eventStream) {
+            m_dependencies.metrics
+                .streamEnds(toString(bodyFraming(m_head)), !m_splitter.partial().empty())
+                .Increment();
             beginStream();
             m_writer->write(m_splitter.partial());
             endSend(send_result::answered, "answered");
@@ -688,6 +691,9 @@
              {"model", m_route != nullptr && !m_route->models.empty() ? model() : ""},
              {"confidence", m_metadata.confidence ? std::to_string(*m_metadata.confidence) : ""},
              {"sends", std::to_string(m_sends)},
+             {"framing", m_mode != response_mode::none ? toString(bodyFraming(m_head)) : ""},
+             {"last_event", m_lastEventId ? std::to_string(*m_lastEventId) : ""},
+             {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
              {"config", m_config ? std::to_string(m_config->version()) : ""},
              {"view_age_ms", formatMilliseconds(now() - m_state.confirmedAt())},
              {"ms", formatMilliseconds(time)}});
--- a/goldcrestdeck/http_message.cc
+++ b/goldcrestdeck/http_message.cc
@@ -56,6 +56,27 @@
 
 } // namespace
 
+const char *toString(body_framing framing)
+{
+    switch (framing) {
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::connectionClose:
+        break;
+    }
+    return "connection_close";
+}
+
+body_framing bodyFraming(const http1_response_head &head)
+{
+    if (head.find(http::field::transfer_encoding) != head.end())
+        return body_framing::chunked;
+    return head.find(http::field::content_length) != head.end() ? body_framing::length
+                                                                : body_framing::connectionClose;
+}
+
 bool isUnambiguousHead(const std::string &head)
 {
     framing_field_counts seen;
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -18,6 +18,16 @@
 /// Status line and header fields, without the body.
 using http1_response_head = boost::beast::http::response_header<http_fields>;
 
+/// How the end of a response body is marked.
+enum class body_framing {
+    length,         ///< By Content-Length.
+    chunked,        ///< By the last chunk.
+    connectionClose ///< By the end of the connection; a truncated body looks the same.
+};
+
+const char *toString(body_framing framing);
+body_framing bodyFraming(const http1_response_head &head);
+
 /// Returns whether a request's head, up to and including the empty line, is free of the forms that
 /// two parsers may interpret differently (request smuggling): bare line feeds or carriage returns,
 /// control characters, folded lines, whitespace before a colon, more than one Content-Length or
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -30,6 +30,8 @@
                                 "Final answers by route kind, status and outcome."))
     , m_sends(counterFamily(*m_registry, "router_sends_total",
                             "Sends to upstream instances by result."))
+    , m_streamEnds(counterFamily(*m_registry, "router_upstream_stream_ends_total",
+                                 "Upstream event streams that ended in order, by framing."))
     , m_retries(
           counterFamily(*m_registry, "router_repeats_total", "Requests sent once more, by reason."))
     , m_storeContacts(counterFamily(*m_registry, "router_store_contacts_total",
@@ -64,6 +66,11 @@
     return m_sends.Add({{"result", result}});
 }
 
+prometheus::Counter &router_metrics::streamEnds(const std::string &framing, bool insideEvent)
+{
+    return m_streamEnds.Add({{"framing", framing}, {"inside_event", insideEvent ? "yes" : "no"}});
+}
+
 prometheus::Counter &router_metrics::retries(const std::string &reason)
 {
     return m_retries.Add({{"reason", reason}});
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -23,6 +23,9 @@
     /// \returns the body of /metrics.
     std::string serialize() const;
 
+    /// Event streams of upstreams that ended in order, by how their end was marked and whether the
+    /// last event was unfinished.
+    prometheus::Counter &streamEnds(const std::string &framing, bool insideEvent);
     /// Final responses by route kind, HTTP status and outcome.
     prometheus::Counter &responses(const std::string &kind, unsigned status,
                                    const std::string &outcome);
@@ -37,6 +40,7 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> &m_responses;
     prometheus::Family<prometheus::Counter> &m_sends;
+    prometheus::Family<prometheus::Counter> &m_streamEnds;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_storeContacts;
     prometheus::Family<prometheus::Histogram> &m_firstByteSeconds;
