--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -260,6 +260,62 @@
     EXPECT_EQ(events(1, 20), response.body());
 }
 
+TEST_F(forwarder_fixture, stream_without_framing_is_forwarded_unchanged)
+{
+    instance_faults faults;
+    faults.events = 20;
+    faults.omitContentLength = true;
+    setFaults(faults);
+    EXPECT_EQ(events(1, 20), sendRequest(streamRequest("r1")).body());
+}
+
+TEST_F(forwarder_fixture, stream_that_ends_inside_an_event_is_resumed_on_another_instance)
+{
+    for (const bool isUnframed : {true, false}) {
+        instance_faults healthy;
+        healthy.events = 20;
+        instance_faults ending = healthy;
+        ending.omitContentLength = isUnframed;
+        ending.endInsideEventAfter = 7;
+        onLoop([&] {
+            m_standins[2]->setFaults(ending);
+            m_standins[3]->setFaults(healthy);
+        });
+        for (int i = 0; i < 4; ++i) {
+            const std::string id = std::to_string(isUnframed) + '-' + std::to_string(i);
+            EXPECT_EQ(events(1, 20), sendRequest(streamRequest(id)).body()) << id;
+        }
+    }
+}
+
+TEST_F(forwarder_fixture, stream_that_ends_inside_an_event_is_not_framed_as_complete)
+{
+    for (const bool isUnframed : {true, false}) {
+        instance_faults ending;
+        ending.events = 20;
+        ending.omitContentLength = isUnframed;
+        ending.endInsideEventAfter = 7;
+        setFaults(ending);
+        const std::string id = "r" + std::to_string(isUnframed);
+        EXPECT_THROW(sendRequest(requestText("POST", "/closed/x", id, "X-Model: m\r\n", "{}")),
+                     boost::system::system_error);
+        EXPECT_EQ(1, executionsOf(id));
+    }
+}
+
+TEST_F(forwarder_fixture, stream_that_ends_inside_its_first_event_is_refused_as_may_have_run)
+{
+    instance_faults ending;
+    ending.events = 20;
+    ending.omitContentLength = true;
+    ending.endInsideEventAfter = 0;
+    setFaults(ending);
+    EXPECT_EQ(
+        502,
+        sendRequest(requestText("POST", "/closed/x", "r1", "X-Model: m\r\n", "{}")).result_int());
+    EXPECT_EQ(1, executionsOf("r1"));
+}
+
 TEST_F(forwarder_fixture, broken_stream_that_is_not_resumable_is_aborted)
 {
     instance_faults breaking;
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -89,7 +89,9 @@
         connection->write(responseWithLength(200, "an-earlier-request",
                                              "X-Response-Seal: other\r\n", "other body"));
     if (faults.events > 0 && faults.status == 200) {
-        fields += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        fields += "Content-Type: text/event-stream\r\n";
+        if (!faults.omitContentLength)
+            fields += "Transfer-Encoding: chunked\r\n";
         connection->write(responseHead(200, id, fields) + "\r\n");
         const std::string last(request["Last-Event-Id"]);
         streamFrom(connection, faults, std::atoi(last.c_str()) + 1);
@@ -104,6 +106,7 @@
             connection->close();
         return;
     }
+    fields += "Content-Type: text/plain\r\n";
     const std::string response = responseWithLength(faults.status, id, fields, body);
     if (faults.truncateBody) {
         connection->write(response.substr(0, response.size() - 3));
@@ -122,19 +125,33 @@
         ++m_abandonedStreams;
         return;
     }
+    const auto send = [&](const std::string &text) {
+        connection->write(faults.omitContentLength ? text : encodeChunk(text));
+    };
+    const auto end = [&] {
+        if (faults.omitContentLength)
+            connection->close();
+        else
+            connection->write(goldcrestdeck::lastChunk);
+    };
+    const std::string text = eventText(number);
+    if (faults.endInsideEventAfter >= 0 && number > faults.endInsideEventAfter) {
+        send(text.substr(0, text.size() / 2));
+        end();
+        return;
+    }
     if (faults.resetAfterEvents >= 0 && number > faults.resetAfterEvents) {
-        const std::string text = eventText(number);
-        connection->write(encodeChunk(text.substr(0, text.size() / 2)));
+        send(text.substr(0, text.size() / 2));
         connection->runAfter(std::chrono::milliseconds(20), [connection] { connection->reset(); });
         return;
     }
     if (faults.stallAfterEvents >= 0 && number > faults.stallAfterEvents)
         return;
     if (number > faults.events) {
-        connection->write(goldcrestdeck::lastChunk);
+        end();
         return;
     }
-    connection->write(encodeChunk(eventText(number)));
+    send(text);
     const auto timer
         = std::make_shared<boost::asio::steady_timer>(m_server.executor(), faults.eventInterval);
     timer->async_wait([this, connection, faults, number, timer](boost::system::error_code) {
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -22,13 +22,15 @@
     int confidence = -1;           ///< Sent for the model "small"; 100 for others; negative: none.
     int events = 0;                ///< Length of the event stream; 0: no stream.
     int resetAfterEvents = -1;     ///< Resets in the middle of the event after this one.
+    int endInsideEventAfter = -1;  ///< Ends the response, as its framing prescribes, in the middle
+                                   ///< of the event after this one.
     int stallAfterEvents = -1;     ///< Stops sending after this event; stays connected.
     std::chrono::milliseconds eventInterval{1}; ///< Between events.
     std::chrono::milliseconds delay{0};         ///< Before the response.
     bool silent = false;                        ///< Executes the request and never responds.
     bool resetBeforeResponse = false; ///< Executes the request, then resets the connection.
     bool truncateBody = false;        ///< Closes in the middle of the response body.
-    bool omitContentLength = false;   ///< No Content-Length: the body ends with the connection.
+    bool omitContentLength = false;   ///< No length or chunks: the body ends with the connection.
     bool resetAtEnd = false;          ///< With omitContentLength: resets instead of closing.
     bool duplicateResponse = false;   ///< Sends a second, unsolicited response.
     bool staleResponseFirst = false;  ///< Sends a response to an earlier request first.
