A stream that ends inside an event is a broken stream

Cause: a response without length or chunks ends with its connection, also when it is cut. The forwarder wrote the unfinished event to the client and ended its own response with a last chunk. Change: the end of a stream inside an event is a failure of the send (broken): resume, else break the client's connection, else 502. 2xx responses of stream routes with another Content-Type are read whole, as on other routes. Before: forwarder_fixture.stream_that_ends_inside_an_event_is_resumed_on_another_instance, ..._is_not_framed_as_complete and ..._its_first_event_is_refused_as_may_have_run failed. After: pass, with the other 46 tests of forwarder, router process and splitter. Why it works: events end with a blank line, so bytes after the last one prove that the stream was cut; nothing of them is passed on, and the resumed run starts after the last whole event. Not covered: a cut exactly between two events of such a stream cannot be seen from its bytes.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address.hpp>
 
 #include "goldcrestdeck/endpoint.h"
@@ -78,6 +79,12 @@
     return send_result::broken;
 }
 
+bool isEventStream(const http1_response_head &head)
+{
+    const auto type = head[http::field::content_type];
+    return type.empty() || boost::algorithm::istarts_with(type, "text/event-stream");
+}
+
 http1_response makeRefusal(http::status status, const std::string &code, execution_state run,
                            std::optional<std::chrono::milliseconds> retryAfter)
 {
@@ -386,6 +393,8 @@
             return;
         if (!m_metadata.isComplete)
             return;
+        if (!isEventStream(head))
+            return;
         m_mode = response_mode::eventStream;
         if (m_streaming)
             return;
@@ -489,14 +498,7 @@
             return;
         }
         if (m_mode == response_mode::eventStream) {
-            m_dependencies.metrics
-                .streamEnds(toString(bodyFraming(m_head)), !m_splitter.partial().empty())
-                .Increment();
-            beginStream();
-            m_writer->write(m_splitter.partial());
-            endSend(send_result::answered, "answered");
-            m_writer->end();
-            finish(m_head.result_int(), "served");
+            onStreamEnd();
             return;
         }
         const bool success = m_head.result_int() / 100 == 2;
@@ -521,6 +523,21 @@
         deliver(bufferedResponse(), failure ? "upstream_failure" : "served");
     }
 
+    void onStreamEnd()
+    {
+        const bool isTruncated = m_splitter.isInsideEvent();
+        m_dependencies.metrics.streamEnds(toString(bodyFraming(m_head)), isTruncated).Increment();
+        if (isTruncated) {
+            onFailure(call_failure::broken);
+            return;
+        }
+        beginStream();
+        m_writer->write(m_splitter.partial());
+        endSend(send_result::answered, "answered");
+        m_writer->end();
+        finish(m_head.result_int(), "served");
+    }
+
     http1_response bufferedResponse() const
     {
         http1_response response;
@@ -631,9 +648,17 @@
                       {"instance", m_chosen.target.incarnation()},
                       {"version", m_chosen.target.version},
                       {"outcome", outcome},
+                      {"framing", framing()},
+                      {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
                       {"ms", formatMilliseconds(now() - m_sentAt)}});
     }
 
+    /// Framing of the last response, for the log; empty if there is none.
+    const char *framing() const
+    {
+        return m_mode == response_mode::none ? "" : toString(bodyFraming(m_head));
+    }
+
     void onClientGone()
     {
         if (m_finished)
@@ -691,7 +716,7 @@
              {"model", m_route != nullptr && !m_route->models.empty() ? model() : ""},
              {"confidence", m_metadata.confidence ? std::to_string(*m_metadata.confidence) : ""},
              {"sends", std::to_string(m_sends)},
-             {"framing", m_mode != response_mode::none ? toString(bodyFraming(m_head)) : ""},
+             {"framing", framing()},
              {"last_event", m_lastEventId ? std::to_string(*m_lastEventId) : ""},
              {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
              {"config", m_config ? std::to_string(m_config->version()) : ""},
--- a/goldcrestdeck/numbered_events.cc
+++ b/goldcrestdeck/numbered_events.cc
@@ -53,6 +53,11 @@
     return events;
 }
 
+bool numbered_event_splitter::isInsideEvent() const
+{
+    return m_buffer.find_first_not_of("\r\n") != std::string::npos;
+}
+
 bool numbered_event_splitter::isOverlong() const
 {
     return m_buffer.size() > maxEventBytes;
--- a/goldcrestdeck/numbered_events.h
+++ b/goldcrestdeck/numbered_events.h
@@ -29,6 +29,9 @@
     /// Returns the bytes of the incomplete event.
     const std::string &partial() const { return m_buffer; }
     void discardPartial() { m_buffer.clear(); }
+    /// Returns whether the bytes so far end inside an event; a stream that ends there was
+    /// truncated, however its end is marked.
+    bool isInsideEvent() const;
     /// Returns whether the incomplete event exceeds the size limit; the stream cannot be processed
     /// further then.
     bool isOverlong() const;
