Broken streams to HTTP/1.0 clients end with a reset

A client that speaks HTTP/1.0 gets a stream that ends with its connection; when the stream broke, the router closed that connection in order, so it looked complete. Cause: abort() relied on the missing last chunk, which such a response does not have. Change: abort() resets the connection if the body in progress ends with it. Before: forwarder_fixture.broken_stream_to_http_1_0_client_does_not_look_complete failed (no error at the client). After: passes, with 45 other tests of forwarder and engine. Why it works: a reset is the only sign of a broken body that has no other end.

--- a/goldcrestdeck/async_server.cc
+++ b/goldcrestdeck/async_server.cc
@@ -139,7 +139,8 @@
     {
         head.version(11);
         m_chunked = m_requestVersion >= 11;
-        m_isLastResponse = isLastResponse() || !m_chunked;
+        m_endsWithConnection = !m_chunked;
+        m_isLastResponse = isLastResponse() || m_endsWithConnection;
         head.erase(http::field::content_length);
         if (m_chunked)
             head.set(http::field::transfer_encoding, "chunked");
@@ -162,6 +163,11 @@
     void abort() override
     {
         m_onDisconnect = nullptr;
+        if (m_endsWithConnection) {
+            // An orderly close would mark the end of the body.
+            error_code ignored;
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         close();
     }
 
@@ -312,6 +318,7 @@
         m_onDisconnect = nullptr;
         m_onWritable = nullptr;
         m_chunked = false;
+        m_endsWithConnection = false;
         m_isLastResponse = false;
         m_state->handle(std::move(request), shared_from_this());
     }
@@ -412,6 +419,7 @@
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
+    bool m_endsWithConnection = false; ///< The response body in progress has no other end.
     bool m_isLastResponse = false;
     unsigned m_requestVersion = 11;
     std::string m_bytesInWrite;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -303,6 +303,17 @@
     }
 }
 
+TEST_F(forwarder_fixture, broken_stream_to_http_1_0_client_does_not_look_complete)
+{
+    instance_faults ending;
+    ending.events = 20;
+    ending.endInsideEventAfter = 7;
+    setFaults(ending);
+    std::string request = requestText("POST", "/closed/x", "r1", "X-Model: m\r\n", "{}");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    EXPECT_THROW(sendRequest(request), boost::system::system_error);
+}
+
 TEST_F(forwarder_fixture, stream_that_ends_inside_its_first_event_is_refused_as_may_have_run)
 {
     instance_faults ending;
