--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -648,11 +648,22 @@
                       {"instance", m_chosen.target.incarnation()},
                       {"version", m_chosen.target.version},
                       {"outcome", outcome},
+                      {"response_begun", m_responseBegun ? "yes" : "no"},
+                      {"shared_segments", sharedSegmentIds()},
                       {"framing", framing()},
                       {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
                       {"ms", formatMilliseconds(now() - m_sentAt)}});
     }
 
+    /// Ids of the prompt segments that other requests may share, for the log.
+    std::string sharedSegmentIds() const
+    {
+        std::string ids;
+        for (std::size_t i = 0; i + 1 < m_request.promptSegments.size(); ++i)
+            ids += (i > 0 ? "," : "") + m_request.promptSegments[i].id;
+        return ids;
+    }
+
     /// Framing of the last response, for the log; empty if there is none.
     const char *framing() const
     {
@@ -716,6 +727,7 @@
              {"model", m_route != nullptr && !m_route->models.empty() ? model() : ""},
              {"confidence", m_metadata.confidence ? std::to_string(*m_metadata.confidence) : ""},
              {"sends", std::to_string(m_sends)},
+             {"shared_segments", sharedSegmentIds()},
              {"framing", framing()},
              {"last_event", m_lastEventId ? std::to_string(*m_lastEventId) : ""},
              {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
