--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -338,6 +338,69 @@
     EXPECT_EQ(1, executionsOf("r1"));
 }
 
+/// Ten instances of the service "engine" that crash on any prompt with the segment "deadly".
+class crashing_segment_fixture : public forwarder_fixture
+{
+protected:
+    static constexpr int instances = 10;
+
+    crashing_segment_fixture()
+    {
+        for (int i = 3; i <= instances; ++i)
+            addInstance("engine", "engine-" + std::to_string(i));
+        publish();
+        instance_faults faults;
+        faults.events = 5;
+        faults.crashSegment = "deadly";
+        setFaults(faults);
+    }
+
+    static std::string promptRequest(const std::string &id, const std::string &shared)
+    {
+        return streamRequest(id, "X-Prompt-Prefix: " + shared + ",own-" + id + ":10\r\n");
+    }
+
+    /// \returns the status of the response; 0 if the connection broke.
+    unsigned statusOf(const std::string &request)
+    {
+        try {
+            return sendRequest(request).result_int();
+        } catch (const boost::system::system_error &) {
+            return 0;
+        }
+    }
+
+    int crashedInstances()
+    {
+        return onLoop([&] {
+            int count = 0;
+            for (const auto &standin : m_standins)
+                count += standin->hasCrashed() ? 1 : 0;
+            return count;
+        });
+    }
+};
+
+TEST_F(crashing_segment_fixture, requests_with_that_segment_are_refused_before_the_sixth_crash)
+{
+    for (int i = 0; i < 8; ++i) {
+        statusOf(promptRequest("d" + std::to_string(i), "common:40,topic:20,deadly:30"));
+        statusOf(promptRequest("s" + std::to_string(i), "common:40,topic:20"));
+        std::this_thread::sleep_for(milliseconds(120));
+    }
+    EXPECT_LE(crashedInstances(), 5);
+    EXPECT_EQ(503U, statusOf(promptRequest("d", "other:40,deadly:30")));
+    EXPECT_EQ(0, executionsOf("d"));
+}
+
+TEST_F(crashing_segment_fixture, sound_requests_with_its_other_segments_are_served)
+{
+    for (int i = 0; i < 8; ++i)
+        statusOf(promptRequest("d" + std::to_string(i), "common:40,topic:20,deadly:30"));
+    EXPECT_EQ(200U, statusOf(promptRequest("s1", "common:40,topic:20")));
+    EXPECT_EQ(200U, statusOf(promptRequest("s2", "common:40")));
+}
+
 TEST_F(forwarder_fixture, stream_with_last_event_id_starts_after_that_event)
 {
     instance_faults faults;
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -248,6 +248,43 @@
         EXPECT_EQ(1U, requests.count(request)) << request;
 }
 
+TEST_F(router_process_fixture, segment_that_crashed_instances_for_one_host_is_refused_by_another)
+{
+    instance_faults faults;
+    faults.events = 3;
+    faults.crashSegment = "deadly";
+    onLoop([&] {
+        for (int i = 3; i <= 12; ++i)
+            addInstance("engine", "e" + std::to_string(i), "v1");
+        for (const auto &standin : m_standins)
+            standin->setFaults(faults);
+    });
+    const auto promptRequest = [](const std::string &id, const std::string &shared) {
+        return requestText("POST", "/stream/x", id,
+                           "X-Model: m\r\nX-Prompt-Prefix: " + shared + ",own-" + id + ":9\r\n",
+                           "{}");
+    };
+    const auto statusAt = [&](int index, const std::string &request) -> unsigned {
+        try {
+            return sendRequest(index, request).result_int();
+        } catch (const boost::system::system_error &) {
+            return 0;
+        }
+    };
+    std::this_thread::sleep_for(milliseconds(1000)); // Until the instances are known.
+    for (int i = 0; i < 3; ++i)
+        statusAt(0, promptRequest("d" + std::to_string(i), "common:40,deadly:30"));
+    // The users' bound: 3 s after the fifth crash.
+    std::this_thread::sleep_for(milliseconds(3000));
+    EXPECT_EQ(503U, statusAt(1, promptRequest("d", "common:40,deadly:30")));
+    EXPECT_EQ(0, executionsOf("d"));
+    EXPECT_EQ(200U, statusAt(1, promptRequest("s", "common:40")));
+    // A host that starts later learns of it from the store.
+    startHost(2);
+    EXPECT_EQ(503U, statusAt(2, promptRequest("late", "common:40,deadly:30")));
+    EXPECT_EQ(0, executionsOf("late"));
+}
+
 TEST_F(router_process_fixture, log_pipe_that_is_never_read_does_not_block_requests)
 {
     const std::string pipe = m_folder + "/unread";
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -93,6 +93,13 @@
         if (!faults.omitContentLength)
             fields += "Transfer-Encoding: chunked\r\n";
         connection->write(responseHead(200, id, fields) + "\r\n");
+        const std::string prompt(request["X-Prompt-Prefix"]);
+        if (!faults.crashSegment.empty()
+            && prompt.find(faults.crashSegment + ':') != std::string::npos) {
+            m_hasCrashed = true;
+            m_server.crash();
+            return;
+        }
         const std::string last(request["Last-Event-Id"]);
         streamFrom(connection, faults, std::atoi(last.c_str()) + 1);
         return;
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -35,8 +35,10 @@
     bool duplicateResponse = false;   ///< Sends a second, unsolicited response.
     bool staleResponseFirst = false;  ///< Sends a response to an earlier request first.
     bool omitSeal = false;            ///< Omits X-Response-Seal.
-    bool garbage = false;             ///< Sends bytes that are not HTTP.
-    bool earlyResponse = false;       ///< Responds before the body is read; for long bodies.
+    std::string
+        crashSegment;     ///< Crashes when it begins the response to a prompt with this segment.
+    bool garbage = false; ///< Sends bytes that are not HTTP.
+    bool earlyResponse = false; ///< Responds before the body is read; for long bodies.
 };
 
 class platform_instance
@@ -57,6 +59,7 @@
     /// Number of streams whose client disconnected before the end.
     int abandonedStreams() const { return m_abandonedStreams; }
     void stop() { m_server.stop(); }
+    bool hasCrashed() const { return m_hasCrashed; }
 
     /// Body of the complete response to a request.
     static std::string bodyFor(const std::string &requestId);
@@ -76,6 +79,7 @@
     std::map<std::string, int> m_executions;
     std::vector<goldcrestdeck::http1_request> m_requests;
     int m_abandonedStreams = 0;
+    bool m_hasCrashed = false;
     raw_server m_server;
 };
 
--- a/standins/raw_server.cc
+++ b/standins/raw_server.cc
@@ -1,5 +1,7 @@
 #include "standins/raw_server.h"
 
+#include <utility>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -122,6 +124,15 @@
     m_acceptor.close(ignored);
 }
 
+void raw_server::crash()
+{
+    stop();
+    for (const auto &known : std::exchange(m_connections, {})) {
+        if (const auto open = known.lock())
+            open->close();
+    }
+}
+
 void raw_server::accept()
 {
     m_acceptor.async_accept([this, acceptedConnections = m_acceptedConnections](
@@ -129,7 +140,9 @@
         if (error)
             return;
         ++*acceptedConnections;
-        std::make_shared<raw_connection>(std::move(socket), m_handle)->start();
+        const auto accepted = std::make_shared<raw_connection>(std::move(socket), m_handle);
+        m_connections.push_back(accepted);
+        accepted->start();
         accept();
     });
 }
--- a/standins/raw_server.h
+++ b/standins/raw_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,6 +58,8 @@
 
     boost::asio::ip::tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
     std::size_t acceptedConnections() const { return *m_acceptedConnections; }
+    /// Stops listening and closes all connections, as the end of the process would.
+    void crash();
     boost::asio::ip::tcp::acceptor::executor_type executor() { return m_acceptor.get_executor(); }
     void stop();
 
@@ -66,6 +69,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     raw_connection::handler m_handle;
     std::shared_ptr<std::size_t> m_acceptedConnections = std::make_shared<std::size_t>(0);
+    std::vector<std::weak_ptr<raw_connection>> m_connections;
 };
 
 } // namespace standins
