Prompt segments that crash instances are quarantined

Cause: a broken send was repeated on the next instance, and nothing was remembered across requests and hosts. Change: segment_quarantine finds the segment by a greedy set cover over crashes, from sends cut between head and body; crash_report carries the evidence through the store; the forwarder refuses such requests as not run, and does not repeat a request after two such breaks. forwarder::onViewUpdated is called for each view, as its header says. Ruled out: scores for each segment (the common first segment scores as high); evidence from all cut sends (they are the victims); a short quarantine (each trial costs an instance).

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address.hpp>
 
@@ -57,6 +58,9 @@
 /// the target gap, but at least minEventTimeout.
 constexpr double gapTimeoutFactor = 1.5;
 constexpr std::chrono::milliseconds minEventTimeout{1200};
+/// A request whose response was cut off this often before the first byte of its body, each time by
+/// another instance, is not sent again: it may be what crashes them.
+constexpr unsigned maxUnansweredBreaks = 2;
 /// The numerically largest, least urgent priority that instances accept.
 constexpr unsigned maxPriorityValue = 9;
 
@@ -110,13 +114,15 @@
 public:
     active_request(forwarder_dependencies &dependencies, const std::optional<drain_schedule> &drain,
                    client_request request, std::shared_ptr<response_writer> writer,
-                   std::shared_ptr<std::set<std::shared_ptr<active_request>>> activeRequests)
+                   std::shared_ptr<std::set<std::shared_ptr<active_request>>> activeRequests,
+                   std::function<void()> onCrashEvidence)
         : m_dependencies(dependencies)
         , m_drain(drain)
         , m_state(dependencies.state)
         , m_request(std::move(request))
         , m_writer(std::move(writer))
         , m_activeRequests(std::move(activeRequests))
+        , m_onCrashEvidence(std::move(onCrashEvidence))
         , m_timer(dependencies.io.get_executor())
         , m_started(dependencies.time.now())
     { }
@@ -299,6 +305,10 @@
     void send()
     {
         const time_point time = now();
+        if (const auto segment = m_state.quarantine().find(sharedSegments(), time)) {
+            refuseQuarantined(*segment);
+            return;
+        }
         const placement_request placement = placementRequest();
         const auto chosen = m_state.choose(placement, time);
         if (!chosen) {
@@ -321,6 +331,7 @@
         m_lastActivityAt = time;
         m_sending = true;
         m_responseBegun = false;
+        m_bodyBegun = false;
         m_mode = response_mode::none;
         m_body.clear();
         m_splitter.discardPartial();
@@ -400,6 +411,7 @@
             return;
         if (const auto next = largerModel()) {
             m_call.cancel();
+            recordUnansweredSend();
             endSend(send_result::answered, "unsure");
             m_retryReason = "upgrade";
             m_modelIndex = *next;
@@ -411,6 +423,7 @@
     void handleResponseBegun()
     {
         m_responseBegun = true;
+        recordResponseBytes();
         const duration latency = now() - m_sentAt;
         m_state.recordFirstByte(m_chosen, latency);
         m_slow = m_state.recordLatency(m_route->name, model(), m_chosen.side, latency);
@@ -446,6 +459,12 @@
 
     void onBody(std::string piece)
     {
+        recordResponseBytes();
+        if (!m_bodyBegun) {
+            m_bodyBegun = true;
+            m_state.quarantine().recordAnswered(sharedSegments(), now());
+            m_onCrashEvidence();
+        }
         if (m_mode != response_mode::eventStream) {
             m_body += piece;
             if (m_body.size() > maxResponseBytes) {
@@ -556,6 +575,7 @@
     void onFailure(call_failure failure)
     {
         const bool notDelivered = failure == call_failure::notSent;
+        recordCrashEvidence(failure);
         endSend(resultOf(failure), toString(failure));
         if (notDelivered) {
             --m_attempts;
@@ -571,7 +591,7 @@
             abortStream("stream_broken");
             return;
         }
-        if (mayRetry()) {
+        if (m_unansweredBreaks < maxUnansweredBreaks && mayRetry()) {
             m_retryReason = m_streaming ? "resume" : "broken";
             send();
             return;
@@ -611,6 +631,18 @@
         }
     }
 
+    void refuseQuarantined(const quarantined_segment &segment)
+    {
+        const char *code = "segment_quarantined";
+        if (m_streaming)
+            abortStream(code);
+        else if (m_deliveries > 0)
+            refuse(http::status::bad_gateway, code, std::nullopt);
+        else
+            refuse(http::status::service_unavailable, code,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(segment.until - now()));
+    }
+
     void onDeadline()
     {
         if (m_sending) {
@@ -655,15 +687,47 @@
                       {"ms", formatMilliseconds(now() - m_sentAt)}});
     }
 
-    /// Ids of the prompt segments that other requests may share, for the log.
-    std::string sharedSegmentIds() const
+    /// Ids of the prompt segments that other requests may share: all but the last.
+    std::vector<std::string> sharedSegments() const
     {
-        std::string ids;
+        std::vector<std::string> ids;
         for (std::size_t i = 0; i + 1 < m_request.promptSegments.size(); ++i)
-            ids += (i > 0 ? "," : "") + m_request.promptSegments[i].id;
+            ids.push_back(m_request.promptSegments[i].id);
         return ids;
     }
 
+    std::string sharedSegmentIds() const { return boost::algorithm::join(sharedSegments(), ","); }
+
+    void recordResponseBytes()
+    {
+        if (m_state.quarantine().hasEvidence())
+            m_state.quarantine().recordResponseBytes(m_chosen.target.incarnation(), now());
+    }
+
+    /// Records that the current send ends without a byte of the body.
+    void recordUnansweredSend()
+    {
+        m_state.quarantine().recordUnansweredSend(
+            {m_chosen.target.incarnation(), m_request.id, sharedSegments(), {}}, now());
+    }
+
+    /// Adds the end of the current send to the evidence on crashes. \a failure is that of the
+    /// connection.
+    void recordCrashEvidence(call_failure failure)
+    {
+        const std::string incarnation = m_chosen.target.incarnation();
+        if (failure == call_failure::notSent) {
+            m_state.quarantine().recordConnectionRefused(incarnation, now());
+        } else if (failure == call_failure::broken) {
+            if (m_responseBegun && !m_bodyBegun) {
+                ++m_unansweredBreaks;
+                recordUnansweredSend();
+            }
+            m_state.quarantine().recordConnectionLost(incarnation, m_sentAt, now());
+        }
+        m_onCrashEvidence();
+    }
+
     /// Framing of the last response, for the log; empty if there is none.
     const char *framing() const
     {
@@ -743,6 +807,7 @@
     client_request m_request;
     std::shared_ptr<response_writer> m_writer;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
+    std::function<void()> m_onCrashEvidence;
     one_shot_timer m_timer;
     time_point m_started;
     time_point m_deadline;
@@ -763,12 +828,14 @@
     unsigned m_deliveries = 0; ///< Sends that reached, or may yet reach, an instance.
     unsigned m_rejections = 0; ///< Sends that an instance rejected without running the request.
     unsigned m_connectFailures = 0;
-    bool m_chargedAsRetry = false; ///< The current send was charged to the retry budget.
+    unsigned m_unansweredBreaks = 0; ///< Sends cut between the head and the body of the response.
+    bool m_chargedAsRetry = false;   ///< The current send was charged to the retry budget.
     bool m_finished = false;
     bool m_awaitingConfig = false;
     bool m_sending = false;
     bool m_responseBegun = false;
-    bool m_slow = false; ///< The candidate responded much more slowly than the baseline.
+    bool m_bodyBegun = false; ///< A byte of the current send's response body has arrived.
+    bool m_slow = false;      ///< The candidate responded much more slowly than the baseline.
     bool m_mayHaveRun = false;
     bool m_failedOnCandidate = false;
     bool m_streaming = false;        ///< The response head has been sent to the client.
@@ -786,6 +853,7 @@
 forwarder::forwarder(forwarder_dependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_activeRequests(std::make_shared<std::set<std::shared_ptr<active_request>>>())
+    , m_reportTimer(m_dependencies.io.get_executor())
 { }
 
 forwarder::~forwarder() = default;
@@ -795,7 +863,8 @@
     try {
         client_request decoded = m_dependencies.wire.decodeRequest(std::move(request));
         const auto active = std::make_shared<active_request>(
-            m_dependencies, m_drain, std::move(decoded), std::move(writer), m_activeRequests);
+            m_dependencies, m_drain, std::move(decoded), std::move(writer), m_activeRequests,
+            [this] { onCrashEvidence(); });
         active->start();
     } catch (const request_error &error) {
         logEvent(log_level::info, "request_malformed", {{"error", error.what()}});
@@ -805,8 +874,32 @@
     }
 }
 
+void forwarder::onCrashEvidence()
+{
+    segment_quarantine &quarantine = m_dependencies.state.quarantine();
+    const time_point now = m_dependencies.time.now();
+    const quarantine_changes changes = quarantine.takeChanges(now);
+    for (const quarantined_segment &added : changes.added)
+        logEvent(log_level::warning, "segment_quarantined",
+                 {{"segment", added.segment},
+                  {"crashes", std::to_string(added.crashes)},
+                  {"requests", std::to_string(added.requests)},
+                  {"for_ms", formatMilliseconds(added.until - now)}});
+    for (const std::string &removed : changes.removed)
+        logEvent(log_level::info, "segment_released", {{"segment", removed}});
+    m_dependencies.metrics.quarantinedSegments.Set(
+        static_cast<double>(quarantine.quarantinedCount()));
+    if (!quarantine.reportDueAt())
+        return;
+    m_reportTimer.set(std::max<duration>(*quarantine.reportDueAt() - now, duration(0)), [this] {
+        m_dependencies.reportCrashes(
+            m_dependencies.state.quarantine().makeReport(m_dependencies.time.now()));
+    });
+}
+
 void forwarder::onViewUpdated()
 {
+    onCrashEvidence();
     // A copy, because a request that finishes removes itself from the set.
     const auto activeRequests = *m_activeRequests;
     for (const auto &active : activeRequests)
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -20,6 +20,7 @@
 
 #include "goldcrestdeck/async_client.h"
 #include "goldcrestdeck/drain_policy.h"
+#include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/router_metrics.h"
 #include "goldcrestdeck/store_follower.h"
 #include "goldcrestdeck/traffic_state.h"
@@ -40,6 +41,8 @@
     std::function<void(std::function<void(bool)>)> confirmConfiguration;
     /// Reports to the control thread the outcome of a request to a service with an active rollout.
     std::function<void(const request_outcome &)> reportOutcome;
+    /// Passes this host's evidence on crashes of instances to the control thread, for other hosts.
+    std::function<void(const crash_report &)> reportCrashes;
 };
 
 class forwarder
@@ -51,8 +54,8 @@
     forwarder &operator=(const forwarder &) = delete;
 
     void handle(http1_request request, std::shared_ptr<response_writer> writer);
-    /// Called when traffic_state has a new view. Resumes requests that are waiting for the first
-    /// configuration.
+    /// To be called whenever traffic_state has a new view. Resumes requests that are waiting for
+    /// the first configuration.
     void onViewUpdated();
     /// Starts draining: from now on, requests are accepted only as drain_policy.h allows.
     void beginDraining(const drain_schedule &times);
@@ -62,9 +65,13 @@
 private:
     class active_request;
 
+    /// Logs segments that entered or left the quarantine, and arms the timer of the next report.
+    void onCrashEvidence();
+
     forwarder_dependencies m_dependencies;
     std::optional<drain_schedule> m_drain;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
+    one_shot_timer m_reportTimer;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -47,6 +47,8 @@
     , instances(gauge("router_instances", "Upstream instances known."))
     , requestsInProgress(gauge("router_requests_in_progress", "Requests being served."))
     , upstreamConnections(gauge("router_upstream_connections", "Open connections to upstreams."))
+    , quarantinedSegments(gauge("router_quarantined_segments",
+                                "Prompt segments refused because they crash upstreams."))
 { }
 
 std::string router_metrics::serialize() const
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -54,6 +54,7 @@
     prometheus::Gauge &instances;
     prometheus::Gauge &requestsInProgress;
     prometheus::Gauge &upstreamConnections;
+    prometheus::Gauge &quarantinedSegments;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/routing_view.h
+++ b/goldcrestdeck/routing_view.h
@@ -13,6 +13,7 @@
 
 #include "goldcrestdeck/instance_directory.h"
 #include "goldcrestdeck/routing_config.h"
+#include "goldcrestdeck/segment_quarantine.h"
 #include "goldcrestdeck/version_rollout.h"
 
 namespace goldcrestdeck {
@@ -33,10 +34,19 @@
 /// Lower bound of routing_view::fleetSize; also used until the hosts' registrations are known.
 constexpr std::size_t minFleetSize = 8;
 
+/// The latest report of one host.
+struct received_crash_report {
+    crash_report report;
+    report_origin origin = report_origin::otherHost;
+    time_point receivedAt;
+};
+
 struct routing_view {
     std::shared_ptr<const routing_config> config;           ///< nullptr until one is known.
     std::map<std::string, std::vector<instance>> instances; ///< By service.
     std::map<std::string, service_rollout> rollouts;        ///< By service.
+    /// By host.
+    std::map<std::string, std::shared_ptr<const received_crash_report>> crashReports;
     /// Number of hosts among which the bounds that hold for the whole fleet are divided.
     std::size_t fleetSize = minFleetSize;
 };
--- /dev/null
+++ b/goldcrestdeck/segment_quarantine.cc
@@ -0,0 +1,386 @@
+// All requests that an instance was processing are cut when it crashes, but only the one that it
+// had just begun to respond to is a suspect. Suspects are innocent at times, so the segments are
+// found by a greedy set cover: the segment that occurs in most crashes is taken first, and what it
+// explains no longer counts against the segments that only happened to occur beside it.
+
+#include "goldcrestdeck/segment_quarantine.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace goldcrestdeck {
+
+namespace {
+
+/// Limits on the state kept; clients choose the segments' ids.
+constexpr std::size_t maxInstances = 500;
+constexpr std::size_t maxSuspectsPerInstance = 32;
+constexpr std::size_t maxAnsweredSegments = 10'000;
+constexpr std::size_t maxSegmentBytes = 128;
+/// Crashes from which on an answer to a segment is reported to the other hosts.
+constexpr std::size_t minReportedCrashes = 2;
+constexpr std::chrono::milliseconds expiryInterval{1000};
+
+std::vector<std::string> boundedSegments(const std::vector<std::string> &segments)
+{
+    std::vector<std::string> result;
+    for (const std::string &segment : segments) {
+        if (segment.size() <= maxSegmentBytes && result.size() < maxReportedSegments)
+            result.push_back(segment);
+    }
+    return result;
+}
+
+std::chrono::milliseconds ageAt(time_point now, time_point at)
+{
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(now - at),
+                    std::chrono::milliseconds(0));
+}
+
+} // namespace
+
+bool operator==(const quarantined_segment &a, const quarantined_segment &b)
+{
+    return std::tie(a.segment, a.crashes, a.requests, a.until)
+        == std::tie(b.segment, b.crashes, b.requests, b.until);
+}
+
+segment_quarantine::segment_quarantine(quarantine_parameters parameters)
+    : m_parameters(parameters)
+{ }
+
+time_point segment_quarantine::instance_evidence::latest() const
+{
+    time_point result;
+    for (const suspect_request &suspect : suspects)
+        result = std::max(result, suspect.at);
+    return result;
+}
+
+void segment_quarantine::addSuspect(const std::string &instance, suspect_request suspect)
+{
+    std::vector<suspect_request> &suspects = m_evidence[instance].suspects;
+    if (suspects.size() >= maxSuspectsPerInstance)
+        suspects.erase(suspects.begin());
+    suspects.push_back(std::move(suspect));
+}
+
+void segment_quarantine::recordUnansweredSend(const crash_suspect &suspect, time_point now)
+{
+    if (suspect.segments.empty())
+        return;
+    addSuspect(suspect.instance, {suspect.request, boundedSegments(suspect.segments), now, true});
+    expire(now);
+}
+
+void segment_quarantine::recordConnectionLost(const std::string &instance, time_point sentAt,
+                                              time_point now)
+{
+    if (!discardCommonLoss(instance, sentAt, now))
+        confirmCrash(instance, now);
+}
+
+void segment_quarantine::recordConnectionRefused(const std::string &instance, time_point now)
+{
+    confirmCrash(instance, now);
+}
+
+void segment_quarantine::confirmCrash(const std::string &instance, time_point now)
+{
+    const auto found = m_evidence.find(instance);
+    if (found == m_evidence.end())
+        return;
+    const time_point latest = found->second.latest();
+    if (now - latest > m_parameters.confirmationTime)
+        return;
+    if (!found->second.isCrashed || latest == now)
+        scheduleReport(now);
+    found->second.isCrashed = true;
+    m_changed = true;
+}
+
+bool segment_quarantine::discardCommonLoss(const std::string &instance, time_point sentAt,
+                                           time_point now)
+{
+    for (auto i = m_recentLosses.begin(); i != m_recentLosses.end();) {
+        // A send that began after a loss has found its instance alive, so the losses are separate.
+        const bool isSeparate = now - i->second > m_parameters.commonLossTime
+            || (i->second <= sentAt && i->first != instance);
+        i = isSeparate ? m_recentLosses.erase(i) : std::next(i);
+    }
+    m_recentLosses.emplace(instance, now);
+    if (m_recentLosses.size() < m_parameters.minCommonLosses)
+        return false;
+    for (const auto &lost : m_recentLosses) {
+        const auto found = m_evidence.find(lost.first);
+        if (found != m_evidence.end()
+            && now - found->second.latest() <= m_parameters.commonLossTime)
+            m_evidence.erase(found);
+    }
+    m_changed = true;
+    return true;
+}
+
+void segment_quarantine::recordResponseBytes(const std::string &instance, time_point now)
+{
+    const auto found = m_evidence.find(instance);
+    if (found == m_evidence.end())
+        return;
+    std::vector<suspect_request> &suspects = found->second.suspects;
+    const auto isSurvived = [&](const suspect_request &suspect) {
+        return now - suspect.at >= m_parameters.settleTime;
+    };
+    const auto survived = std::remove_if(suspects.begin(), suspects.end(), isSurvived);
+    if (survived == suspects.end())
+        return;
+    m_changed = m_changed || found->second.isCrashed;
+    suspects.erase(survived, suspects.end());
+    if (suspects.empty())
+        m_evidence.erase(found);
+}
+
+void segment_quarantine::recordAnswered(const std::vector<std::string> &segments, time_point now)
+{
+    for (const std::string &segment : segments) {
+        if (segment.size() > maxSegmentBytes)
+            continue;
+        setAnswered(segment, now, true);
+        m_changed = m_changed || m_suspected.count(segment) > 0;
+    }
+}
+
+void segment_quarantine::setAnswered(const std::string &segment, time_point at, bool isOwn)
+{
+    if (m_answers.size() >= maxAnsweredSegments && m_answers.count(segment) == 0)
+        m_answers.erase(m_answers.begin());
+    segment_answer &answer = m_answers[segment];
+    answer.at = std::max(answer.at, at);
+    if (isOwn)
+        answer.ownAt = at;
+}
+
+void segment_quarantine::merge(const crash_report &report, report_origin origin, time_point now)
+{
+    for (const crash_suspect &suspect : report.suspects) {
+        if (suspect.age > m_parameters.lifetime)
+            continue;
+        instance_evidence &evidence = m_evidence[suspect.instance];
+        const bool isKnown = std::any_of(
+            evidence.suspects.begin(), evidence.suspects.end(),
+            [&](const suspect_request &known) { return known.request == suspect.request; });
+        if (!isKnown)
+            addSuspect(suspect.instance,
+                       {suspect.request, boundedSegments(suspect.segments), now - suspect.age,
+                        origin == report_origin::earlierProcess});
+        evidence.isCrashed = true;
+    }
+    for (const answered_segment &answered : report.answered) {
+        if (answered.segment.size() <= maxSegmentBytes)
+            setAnswered(answered.segment, now - answered.age, false);
+    }
+    m_changed = true;
+    expire(now);
+}
+
+std::optional<quarantined_segment>
+segment_quarantine::find(const std::vector<std::string> &segments, time_point now)
+{
+    update(now);
+    if (m_quarantined.empty())
+        return std::nullopt;
+    for (const std::string &segment : segments) {
+        const auto found = m_quarantined.find(segment);
+        if (found != m_quarantined.end())
+            return found->second;
+    }
+    return std::nullopt;
+}
+
+quarantine_changes segment_quarantine::takeChanges(time_point now)
+{
+    update(now);
+    quarantine_changes changes;
+    for (const auto &entry : m_quarantined) {
+        if (m_reportedToCaller.count(entry.first) == 0)
+            changes.added.push_back(entry.second);
+    }
+    for (const auto &entry : m_reportedToCaller) {
+        if (m_quarantined.count(entry.first) == 0)
+            changes.removed.push_back(entry.first);
+    }
+    m_reportedToCaller = m_quarantined;
+    return changes;
+}
+
+crash_report segment_quarantine::makeReport(time_point now)
+{
+    update(now);
+    m_reportDueAt.reset();
+    m_lastReport = now;
+    crash_report report;
+    for (const auto &entry : m_evidence) {
+        if (!entry.second.isCrashed)
+            continue;
+        for (const suspect_request &suspect : entry.second.suspects) {
+            if (suspect.isOwn)
+                report.suspects.push_back(
+                    {entry.first, suspect.request, suspect.segments, ageAt(now, suspect.at)});
+        }
+    }
+    for (const auto &entry : m_ownAnswers)
+        report.answered.push_back({entry.first, ageAt(now, entry.second)});
+    const auto isYounger = [](const auto &a, const auto &b) { return a.age < b.age; };
+    std::stable_sort(report.suspects.begin(), report.suspects.end(), isYounger);
+    std::stable_sort(report.answered.begin(), report.answered.end(), isYounger);
+    if (report.suspects.size() > maxReportedSuspects)
+        report.suspects.resize(maxReportedSuspects);
+    if (report.answered.size() > maxReportedAnswers)
+        report.answered.resize(maxReportedAnswers);
+    return report;
+}
+
+void segment_quarantine::scheduleReport(time_point now)
+{
+    if (!m_reportDueAt)
+        m_reportDueAt
+            = std::max(now + m_parameters.settleTime, m_lastReport + m_parameters.reportInterval);
+}
+
+void segment_quarantine::expire(time_point now)
+{
+    if (now - m_lastExpiry < expiryInterval && m_evidence.size() <= maxInstances)
+        return;
+    m_lastExpiry = now;
+    const auto isExpired = [&](time_point at) { return now - at > m_parameters.lifetime; };
+    for (auto i = m_evidence.begin(); i != m_evidence.end();) {
+        const time_point latest = i->second.latest();
+        const bool isUnconfirmed
+            = !i->second.isCrashed && now - latest > m_parameters.confirmationTime;
+        m_changed = m_changed || (i->second.isCrashed && isExpired(latest));
+        i = isUnconfirmed || isExpired(latest) ? m_evidence.erase(i) : std::next(i);
+    }
+    while (m_evidence.size() > maxInstances) {
+        m_evidence.erase(std::min_element(
+            m_evidence.begin(), m_evidence.end(),
+            [](const auto &a, const auto &b) { return a.second.latest() < b.second.latest(); }));
+        m_changed = true;
+    }
+    for (auto i = m_answers.begin(); i != m_answers.end();)
+        i = isExpired(i->second.at) ? m_answers.erase(i) : std::next(i);
+    for (auto i = m_ownAnswers.begin(); i != m_ownAnswers.end();)
+        i = isExpired(i->second) ? m_ownAnswers.erase(i) : std::next(i);
+}
+
+time_point segment_quarantine::answeredAt(const std::string &segment) const
+{
+    const auto found = m_answers.find(segment);
+    return found == m_answers.end() ? time_point() : found->second.at;
+}
+
+std::map<std::string, segment_quarantine::segment_evidence>
+segment_quarantine::collectEvidence(const std::set<std::string> &explainedInstances) const
+{
+    std::map<std::string, segment_evidence> result;
+    std::set<std::pair<std::string, std::string>> counted; // Segment, and instance or request.
+    for (const auto &entry : m_evidence) {
+        if (!entry.second.isCrashed || explainedInstances.count(entry.first) > 0)
+            continue;
+        for (const suspect_request &suspect : entry.second.suspects) {
+            for (std::size_t depth = 0; depth < suspect.segments.size(); ++depth) {
+                const std::string &segment = suspect.segments[depth];
+                const time_point answered = answeredAt(segment);
+                if (answered >= suspect.at)
+                    continue;
+                segment_evidence &evidence = result[segment];
+                evidence.answeredAt = answered;
+                evidence.depth = std::max(evidence.depth, depth);
+                evidence.latest = std::max(evidence.latest, suspect.at);
+                evidence.crashes += counted.emplace(segment, "i " + entry.first).second ? 1 : 0;
+                evidence.requests
+                    += counted.emplace(segment, "r " + suspect.request).second ? 1 : 0;
+            }
+        }
+    }
+    return result;
+}
+
+void segment_quarantine::updateSuspected()
+{
+    m_suspected.clear();
+    for (const auto &entry : m_evidence) {
+        if (!entry.second.isCrashed)
+            continue;
+        std::set<std::string> counted;
+        for (const suspect_request &suspect : entry.second.suspects) {
+            for (const std::string &segment : suspect.segments) {
+                suspected_segment &suspected = m_suspected[segment];
+                suspected.earliest = suspected.crashes == 0
+                    ? suspect.at
+                    : std::min(suspected.earliest, suspect.at);
+                suspected.latest = std::max(suspected.latest, suspect.at);
+                suspected.crashes += counted.insert(segment).second ? 1 : 0;
+            }
+        }
+    }
+}
+
+/// Selects the answers of this host that other hosts need to know: those that clear a segment of
+/// evidence, unless an answer after the same evidence was reported before.
+void segment_quarantine::updateOwnAnswers(time_point now)
+{
+    for (const auto &entry : m_suspected) {
+        const auto answer = m_answers.find(entry.first);
+        if (answer == m_answers.end() || entry.second.crashes < minReportedCrashes
+            || answer->second.ownAt < entry.second.earliest)
+            continue;
+        const auto reported = m_ownAnswers.find(entry.first);
+        if (reported != m_ownAnswers.end()
+            && (reported->second >= entry.second.latest
+                || answer->second.ownAt < entry.second.latest))
+            continue;
+        m_ownAnswers[entry.first] = answer->second.ownAt;
+        scheduleReport(now);
+    }
+}
+
+void segment_quarantine::update(time_point now)
+{
+    expire(now);
+    if (!m_changed)
+        return;
+    m_changed = false;
+    m_quarantined.clear();
+    updateSuspected();
+    updateOwnAnswers(now);
+    std::set<std::string> explainedInstances;
+    auto candidates = collectEvidence(explainedInstances);
+    const auto isSufficient = [&](const segment_evidence &evidence) {
+        return evidence.crashes >= m_parameters.minCrashes
+            && evidence.requests >= m_parameters.minRequests;
+    };
+    while (!candidates.empty()) {
+        // Between segments that occur in the same crashes, one that was never answered, and then
+        // the one that fewer other requests share.
+        const auto worst = std::max_element(
+            candidates.begin(), candidates.end(), [&](const auto &a, const auto &b) {
+                return std::make_tuple(isSufficient(a.second), a.second.crashes,
+                                       b.second.answeredAt, a.second.depth)
+                    < std::make_tuple(isSufficient(b.second), b.second.crashes, a.second.answeredAt,
+                                      b.second.depth);
+            });
+        if (!isSufficient(worst->second))
+            break;
+        const std::string segment = worst->first;
+        m_quarantined[segment] = {segment, worst->second.crashes, worst->second.requests,
+                                  worst->second.latest + m_parameters.lifetime};
+        for (const auto &entry : m_evidence) {
+            for (const suspect_request &suspect : entry.second.suspects) {
+                if (std::count(suspect.segments.begin(), suspect.segments.end(), segment) > 0)
+                    explainedInstances.insert(entry.first);
+            }
+        }
+        candidates = collectEvidence(explainedInstances);
+    }
+}
+
+} // namespace goldcrestdeck
--- /dev/null
+++ b/goldcrestdeck/segment_quarantine.h
@@ -0,0 +1,162 @@
+#ifndef GOLDCRESTDECK_SEGMENT_QUARANTINE_H_
+#define GOLDCRESTDECK_SEGMENT_QUARANTINE_H_
+
+/// \file
+/// Finds prompt segments that crash the upstream instances which begin to respond to them, so that
+/// requests with such a segment are refused instead of crashing one instance after the other.
+///
+/// The host records how its own sends end, merges the reports of other hosts, and asks find()
+/// before each send. Evidence against a segment are crashes of instances that had just begun to
+/// respond to a request with it. An instance that is heard of again has not crashed, and a segment
+/// that some instance has answered since is cleared. Evidence expires, so a segment is tried again
+/// some minutes after its last crash.
+///
+/// Performs no I/O and reads no clock. Used by a single thread.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "goldcrestdeck/clock.h"
+#include "goldcrestdeck/crash_report.h"
+
+namespace goldcrestdeck {
+
+struct quarantine_parameters {
+    /// Crashed instances and distinct requests required as evidence against a segment.
+    std::size_t minCrashes = 3;
+    std::size_t minRequests = 2;
+    /// Time after which evidence expires.
+    std::chrono::milliseconds lifetime{600'000};
+    /// Time in which bytes that an instance sent before it crashed may still be read.
+    std::chrono::milliseconds settleTime{100};
+    /// Time within which the loss of a connection shows that an instance crashed on a request.
+    std::chrono::milliseconds confirmationTime{5000};
+    /// Instances lost within this time are lost together, to a failure of a host or a network; a
+    /// request crashes one at a time.
+    std::chrono::milliseconds commonLossTime{100};
+    std::size_t minCommonLosses = 3;
+    /// Minimum time between two reports to the other hosts.
+    std::chrono::milliseconds reportInterval{500};
+};
+
+enum class report_origin {
+    otherHost,
+    earlierProcess ///< Of this host; what it reported is reported again.
+};
+
+struct quarantined_segment {
+    std::string segment;
+    std::size_t crashes = 0;
+    std::size_t requests = 0;
+    time_point until; ///< When the evidence expires.
+};
+
+bool operator==(const quarantined_segment &a, const quarantined_segment &b);
+
+/// Segments that are now in quarantine, or no longer.
+struct quarantine_changes {
+    std::vector<quarantined_segment> added;
+    std::vector<std::string> removed;
+};
+
+class segment_quarantine
+{
+public:
+    explicit segment_quarantine(quarantine_parameters parameters);
+
+    /// Records a send that ended after the head of the response and before the first byte of its
+    /// body, whether the connection broke or this host closed it. \a suspect.age is ignored.
+    void recordUnansweredSend(const crash_suspect &suspect, time_point now);
+    /// Records that the connection of a send that began at \a sentAt was lost.
+    void recordConnectionLost(const std::string &instance, time_point sentAt, time_point now);
+    /// Records that no connection to \a instance could be opened.
+    void recordConnectionRefused(const std::string &instance, time_point now);
+    /// Records that \a instance has sent bytes: it was alive shortly before.
+    void recordResponseBytes(const std::string &instance, time_point now);
+    /// Records the first byte of the body of a response to a prompt with \a segments.
+    void recordAnswered(const std::vector<std::string> &segments, time_point now);
+
+    /// Adds a report received at \a now.
+    void merge(const crash_report &report, report_origin origin, time_point now);
+
+    /// \returns the first of \a segments that is in quarantine.
+    std::optional<quarantined_segment> find(const std::vector<std::string> &segments,
+                                            time_point now);
+    /// Whether there is any evidence on an instance.
+    bool hasEvidence() const { return !m_evidence.empty(); }
+    std::size_t quarantinedCount() const { return m_quarantined.size(); }
+    /// \returns the changes since the last call.
+    quarantine_changes takeChanges(time_point now);
+
+    /// When the next report is to be made; nullopt if there is nothing to report.
+    std::optional<time_point> reportDueAt() const { return m_reportDueAt; }
+    crash_report makeReport(time_point now);
+
+private:
+    struct suspect_request {
+        std::string request;
+        std::vector<std::string> segments;
+        time_point at;
+        bool isOwn = false; ///< Observed by this host.
+    };
+    /// Evidence on one incarnation.
+    struct instance_evidence {
+        std::vector<suspect_request> suspects;
+        bool isCrashed = false;
+
+        time_point latest() const;
+    };
+    struct segment_evidence {
+        std::size_t crashes = 0;
+        std::size_t requests = 0;
+        std::size_t depth = 0; ///< Greatest position in a prompt.
+        time_point answeredAt;
+        time_point latest;
+    };
+    struct segment_answer {
+        time_point at;
+        time_point ownAt; ///< By this host.
+    };
+    struct suspected_segment {
+        std::size_t crashes = 0;
+        time_point earliest;
+        time_point latest;
+    };
+    using quarantine_map = std::map<std::string, quarantined_segment>;
+
+    void confirmCrash(const std::string &instance, time_point now);
+    void addSuspect(const std::string &instance, suspect_request suspect);
+    void scheduleReport(time_point now);
+    void expire(time_point now);
+    void update(time_point now);
+    bool discardCommonLoss(const std::string &instance, time_point sentAt, time_point now);
+    time_point answeredAt(const std::string &segment) const;
+    void setAnswered(const std::string &segment, time_point at, bool isOwn);
+    void updateSuspected();
+    void updateOwnAnswers(time_point now);
+    std::map<std::string, segment_evidence>
+    collectEvidence(const std::set<std::string> &explainedInstances) const;
+
+    quarantine_parameters m_parameters;
+    std::map<std::string, instance_evidence> m_evidence; ///< By incarnation.
+    std::map<std::string, segment_answer> m_answers;     ///< By segment.
+    std::map<std::string, time_point> m_ownAnswers;      ///< Of suspected segments, to be reported.
+    std::map<std::string, time_point> m_recentLosses;    ///< By incarnation.
+    std::map<std::string, suspected_segment> m_suspected; ///< Answered or not.
+    quarantine_map m_quarantined;
+    quarantine_map m_reportedToCaller; ///< As of the last takeChanges().
+    bool m_changed = false;
+    time_point m_lastExpiry;
+    time_point m_lastReport;
+    std::optional<time_point> m_reportDueAt;
+};
+
+} // namespace goldcrestdeck
+
+#endif // GOLDCRESTDECK_SEGMENT_QUARANTINE_H_
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -43,6 +43,7 @@
 constexpr const char *tallyPrefix = "tally/";
 constexpr const char *sessionsPrefix = "sessions/";
 constexpr const char *hostsPrefix = "hosts/";
+constexpr const char *crashesPrefix = "crashes/";
 
 bool startsWith(const std::string &text, const std::string &prefix)
 {
@@ -391,6 +392,7 @@
     if (m_instances.expire(m_clock.now()))
         m_dirty = true;
     advanceRollouts();
+    writeCrashReport();
     if (m_dirty)
         publish();
     const auto callbacks = std::move(m_confirmCallbacks);
@@ -522,6 +524,10 @@
         }
         return;
     }
+    if (startsWith(name, crashesPrefix)) {
+        applyCrashReport(name.substr(std::string(crashesPrefix).size()), item);
+        return;
+    }
     const std::size_t firstSlash = name.find('/');
     const std::size_t lastSlash = name.rfind('/');
     if (firstSlash == lastSlash)
@@ -542,6 +548,74 @@
     }
 }
 
+void store_follower::applyCrashReport(const std::string &host, const kv_item &item)
+{
+    std::uint64_t &revision = m_crashReportRevisions[host];
+    const bool isOwn = host == m_settings.name;
+    // After the first full read, the own key holds only what this process wrote.
+    if (item.revision <= revision || (isOwn && m_fullReadDone))
+        return;
+    revision = item.revision;
+    received_crash_report received;
+    received.report = decodeCrashReport(item.value);
+    received.origin = isOwn ? report_origin::earlierProcess : report_origin::otherHost;
+    received.receivedAt = m_clock.now();
+    logEvent(log_level::info, "crash_report_read",
+             {{"host", host},
+              {"suspects", std::to_string(received.report.suspects.size())},
+              {"answered", std::to_string(received.report.answered.size())},
+              {"revision", std::to_string(item.revision)}});
+    m_crashReports[host] = std::make_shared<const received_crash_report>(std::move(received));
+    m_dirty = true;
+}
+
+void store_follower::publishCrashReport(const crash_report &report)
+{
+    m_unwrittenCrashReport = report;
+    m_crashReportMadeAt = m_clock.now();
+    writeCrashReport();
+}
+
+void store_follower::writeCrashReport()
+{
+    if (!m_unwrittenCrashReport || m_writingCrashReport || m_stopped)
+        return;
+    m_writingCrashReport = true;
+    const auto lifetime = quarantine_parameters().lifetime;
+    m_store.grantLease(lifetime, [this](std::uint64_t lease) {
+        crash_report report = std::move(*m_unwrittenCrashReport);
+        m_unwrittenCrashReport.reset();
+        const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_clock.now() - m_crashReportMadeAt);
+        const auto onWritten = [this, report](kv_outcome outcome) {
+            m_writingCrashReport = false;
+            logEvent(log_level::info, "crash_report_written",
+                     {{"suspects", std::to_string(report.suspects.size())},
+                      {"answered", std::to_string(report.answered.size())},
+                      {"outcome", toString(outcome)}});
+            // The next poll repeats the call, unless there is a newer report by then.
+            if (outcome != kv_outcome::done && !m_unwrittenCrashReport)
+                m_unwrittenCrashReport = report;
+        };
+        if (lease == 0) {
+            onWritten(kv_outcome::refused);
+            return;
+        }
+        crash_report aged = report;
+        for (crash_suspect &suspect : aged.suspects)
+            suspect.age += delay;
+        for (answered_segment &answered : aged.answered)
+            answered.age += delay;
+        kv_transaction transaction;
+        transaction.writes.push_back({m_layout.internalPrefix + crashesPrefix + m_settings.name,
+                                      encodeCrashReport(aged), 0});
+        transaction.lease = lease;
+        m_store.transact(transaction, [onWritten](const kv_transaction_result &result) {
+            onWritten(result.outcome);
+        });
+    });
+}
+
 void store_follower::publish()
 {
     m_dirty = false;
@@ -551,6 +625,7 @@
         view->instances[entry.service].push_back(entry);
     view->rollouts = m_rollouts.view(m_clock.now());
     view->fleetSize = m_fleetSize;
+    view->crashReports = m_crashReports;
     m_onView(view);
 }
 
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -66,6 +66,9 @@
     void confirm(std::function<void(bool)> done);
 
     void recordOutcome(const request_outcome &outcome);
+    /// Writes this host's crash report for the other hosts, in place of its last one. Repeated
+    /// after a failure until it succeeds.
+    void publishCrashReport(const crash_report &report);
 
     bool hasConfig() const { return m_config != nullptr; }
 
@@ -108,6 +111,8 @@
     void applyInternal(const kv_item &item);
     void publish();
 
+    void applyCrashReport(const std::string &host, const kv_item &item);
+    void writeCrashReport();
     void advanceRollouts();
     void writeRecord(const record_write &write);
     void publishTally(const rollout_order &order, const version_tally &tally);
@@ -159,6 +164,12 @@
     std::shared_ptr<const routing_config> m_config;
     instance_directory m_instances;
     rollout_member m_rollouts;
+    /// By host.
+    std::map<std::string, std::shared_ptr<const received_crash_report>> m_crashReports;
+    std::map<std::string, std::uint64_t> m_crashReportRevisions;
+    std::optional<crash_report> m_unwrittenCrashReport;
+    time_point m_crashReportMadeAt;
+    bool m_writingCrashReport = false;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -55,6 +55,7 @@
     : m_settings(settings)
     , m_random(seed)
     , m_prefixIndex(promptCacheLifetime)
+    , m_quarantine(quarantine_parameters())
 { }
 
 void traffic_state::setSettings(const router_settings &settings)
@@ -64,6 +65,15 @@
 
 void traffic_state::setView(std::shared_ptr<const routing_view> view)
 {
+    const auto isKnown = [](const routing_view &previous, const auto &entry) {
+        const auto known = previous.crashReports.find(entry.first);
+        return known != previous.crashReports.end() && known->second == entry.second;
+    };
+    for (const auto &entry : view->crashReports) {
+        const received_crash_report &received = *entry.second;
+        if (!m_view || !isKnown(*m_view, entry))
+            m_quarantine.merge(received.report, received.origin, received.receivedAt);
+    }
     m_view = std::move(view);
     for (auto &entry : m_allowances)
         entry.second.setHosts(m_view->fleetSize);
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -19,6 +19,7 @@
 #include "goldcrestdeck/retry_allowance.h"
 #include "goldcrestdeck/router_settings.h"
 #include "goldcrestdeck/routing_view.h"
+#include "goldcrestdeck/segment_quarantine.h"
 
 namespace goldcrestdeck {
 
@@ -107,6 +108,9 @@
     /// routed to the baseline version.
     std::vector<std::uint64_t> baselineSessions(const rollout_order &order, time_point now) const;
 
+    /// Prompt segments that crash instances. Reports of other hosts are merged by setView().
+    segment_quarantine &quarantine() { return m_quarantine; }
+
     std::size_t instanceCount(const std::string &service) const;
     /// \returns a uniform random number in [0, 1).
     double draw();
@@ -159,6 +163,7 @@
     std::map<std::string, double> m_routeLatencies;        ///< Seconds, by route and model.
     std::map<std::string, token_latency> m_tokenLatencies; ///< By service and model.
     prompt_prefix_index m_prefixIndex;
+    segment_quarantine m_quarantine;
     time_point m_lastSweepAt;
 };
 
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -139,6 +139,10 @@
                 [this](const request_outcome &outcome) {
                     asio::post(m_controlLoop,
                                [this, outcome] { m_storeFollower.recordOutcome(outcome); });
+                },
+                [this](const crash_report &report) {
+                    asio::post(m_controlLoop,
+                               [this, report] { m_storeFollower.publishCrashReport(report); });
                 }};
     }
 
@@ -147,10 +151,8 @@
         asio::post(m_trafficLoop, [this, view = std::move(view)] {
             if (view->config)
                 m_clientServer.setLimits(view->config->limits());
-            const bool first = !m_trafficState.view() || !m_trafficState.view()->config;
             m_trafficState.setView(view);
-            if (first && view->config)
-                m_forwarder.onViewUpdated();
+            m_forwarder.onViewUpdated();
         });
     }
 
