--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -425,6 +425,7 @@
         m_responseBegun = true;
         recordResponseBytes();
         const duration latency = now() - m_sentAt;
+        m_firstByteLatency = latency;
         m_state.recordFirstByte(m_chosen, latency);
         m_slow = m_state.recordLatency(m_route->name, model(), m_chosen.side, latency);
         m_dependencies.metrics.firstByteSeconds(toString(m_route->kind))
@@ -792,6 +793,7 @@
              {"confidence", m_metadata.confidence ? std::to_string(*m_metadata.confidence) : ""},
              {"sends", std::to_string(m_sends)},
              {"shared_segments", sharedSegmentIds()},
+             {"first_byte_ms", m_responseBegun ? formatMilliseconds(m_firstByteLatency) : ""},
              {"framing", framing()},
              {"last_event", m_lastEventId ? std::to_string(*m_lastEventId) : ""},
              {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
@@ -813,7 +815,8 @@
     time_point m_deadline;
     time_point m_sendDeadline;
     time_point m_sentAt;
-    time_point m_lastActivityAt;                    ///< Start or latest event of the current send.
+    duration m_firstByteLatency{0}; ///< Of the current send, once its response has begun.
+    time_point m_lastActivityAt;    ///< Start or latest event of the current send.
     std::shared_ptr<const routing_config> m_config; ///< Owns *m_route and *m_workspace.
     const route *m_route = nullptr;
     const workspace_spec *m_workspace = nullptr;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -338,6 +338,76 @@
     EXPECT_EQ(1, executionsOf("r1"));
 }
 
+/// All traffic of the service "engine" goes to the only instance of the candidate version, after
+/// its normal latencies are known.
+class slow_candidate_fixture : public forwarder_fixture
+{
+protected:
+    /// Sends one request to a candidate with \a faults.
+    /// \returns whether it was reported as slow within 2 s, long before its response ended.
+    bool isReportedWhileInProgress(const instance_faults &faults)
+    {
+        instance_faults normal;
+        normal.events = 20;
+        normal.eventInterval = milliseconds(4);
+        setFaults(normal);
+        for (int i = 0; i < 10; ++i)
+            sendRequest(closedRequest("normal-" + std::to_string(i)));
+        platform_instance &candidate = addInstance("engine", "engine-new", "v2");
+        onLoop([&] { candidate.setFaults(faults); });
+        service_rollout rollout;
+        rollout.order = {"engine", "v2", std::chrono::seconds(60), 1};
+        rollout.record = {1, "v2", rollout_stage::full, milliseconds(40'000)};
+        rollout.seenAt = m_clock.now();
+        rollout.baselineSessions = std::make_shared<const std::set<std::uint64_t>>();
+        m_rollouts["engine"] = rollout;
+        publish();
+        raw_http_client client(onLoop([&] { return m_server->address(); }));
+        client.send(closedRequest("slow"));
+        for (int i = 0; i < 20; ++i) {
+            std::this_thread::sleep_for(milliseconds(100));
+            const bool isReported = onLoop([&] {
+                return m_outcomes.size() == 1 && m_outcomes[0].slow
+                    && m_outcomes[0].side == version_side::candidate
+                    && m_forwarder->requestsInProgress() == 1;
+            });
+            if (isReported)
+                return true;
+        }
+        return false;
+    }
+
+    static std::string closedRequest(const std::string &id)
+    {
+        return requestText("POST", "/closed/x", id, "X-Model: m\r\n", "{}");
+    }
+};
+
+TEST_F(slow_candidate_fixture, response_that_does_not_begin_is_reported_before_it_ends)
+{
+    instance_faults late;
+    late.events = 5;
+    late.delay = milliseconds(2700);
+    EXPECT_TRUE(isReportedWhileInProgress(late));
+}
+
+TEST_F(slow_candidate_fixture, stream_with_slow_events_is_reported_before_it_ends)
+{
+    instance_faults slow;
+    slow.events = 100;
+    slow.eventInterval = milliseconds(100);
+    EXPECT_TRUE(isReportedWhileInProgress(slow));
+}
+
+TEST_F(slow_candidate_fixture, normal_stream_is_not_reported_as_slow)
+{
+    instance_faults normal;
+    normal.events = 200;
+    normal.eventInterval = milliseconds(6);
+    EXPECT_FALSE(isReportedWhileInProgress(normal));
+    EXPECT_TRUE(onLoop([&] { return m_outcomes.size() == 1 && !m_outcomes[0].slow; }));
+}
+
 /// Ten instances of the service "engine" that crash on any prompt with the segment "deadly".
 class crashing_segment_fixture : public forwarder_fixture
 {
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -152,7 +152,7 @@
                 m_onConfirm();
             asio::post(m_io, [this, done = std::move(done)] { done(m_confirmSucceeds); });
         },
-        [](const request_outcome &) {},
+        [this](const request_outcome &outcome) { m_outcomes.push_back(outcome); },
         [](const crash_report &) {}};
     m_forwarder = std::make_unique<forwarder>(std::move(dependencies));
     m_server = std::make_unique<async_server>(
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -85,7 +85,8 @@
     std::map<std::string, service_rollout> m_rollouts;
     bool m_confirmSucceeds = true; ///< Whether confirming the configuration succeeds.
     int m_confirmCalls = 0;
-    std::function<void()> m_onConfirm; ///< Called, if set, on each call to confirm.
+    std::vector<request_outcome> m_outcomes; ///< Reported; use on the event loop's thread only.
+    std::function<void()> m_onConfirm;       ///< Called, if set, on each call to confirm.
 
     boost::asio::io_context m_io{1};
     system_clock m_clock;
