Slow sends to a candidate are reported while they are in progress

Cause: an outcome was reported when its response had ended, so the verdict saw the fast responses only; and only a late first byte counted as slow, which half of the slow streams do not have. Change: a send is reported at the time by which its response should have begun, or when the mean interval of its first 16 events exceeds 1.2 times the 90th percentile of the baseline version's on the same route and model. Why it works: slow sends count as soon as they are known to be slow, before those that began with them have ended.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -61,6 +61,10 @@
 /// A request whose response was cut off this often before the first byte of its body, each time by
 /// another instance, is not sent again: it may be what crashes them.
 constexpr unsigned maxUnansweredBreaks = 2;
+/// Events of a stream whose mean interval is compared with that of the baseline version; fewer if
+/// the stream is shorter, but not less than the second number.
+constexpr std::size_t eventsForInterval = 16;
+constexpr std::size_t minEventsForInterval = 4;
 /// The numerically largest, least urgent priority that instances accept.
 constexpr unsigned maxPriorityValue = 9;
 
@@ -124,6 +128,7 @@
         , m_activeRequests(std::move(activeRequests))
         , m_onCrashEvidence(std::move(onCrashEvidence))
         , m_timer(dependencies.io.get_executor())
+        , m_slowTimer(dependencies.io.get_executor())
         , m_started(dependencies.time.now())
     { }
 
@@ -335,10 +340,81 @@
         m_mode = response_mode::none;
         m_body.clear();
         m_splitter.discardPartial();
+        m_eventsInSend = 0;
+        m_intervalRecorded = false;
+        m_slow = false;
+        m_outcomeReported = false;
         setTimer();
+        setSlowTimer();
         call(endpoint);
     }
 
+    bool isOnCandidate() const
+    {
+        return m_chosen.inRollout && m_chosen.side == version_side::candidate;
+    }
+
+    /// Reports a candidate as slow that has not begun to respond in time; the response may take
+    /// very long, or never come.
+    void setSlowTimer()
+    {
+        m_slowTimer.cancel();
+        const auto limit = m_state.slowLatency(m_route->name, model());
+        if (!isOnCandidate() || !limit)
+            return;
+        const unsigned sendNumber = m_sends;
+        m_slowTimer.set(*limit, [self = shared_from_this(), sendNumber] {
+            if (self->isCurrent(sendNumber) && !self->m_responseBegun)
+                self->reportSlow();
+        });
+    }
+
+    /// Reports the current send as slow while it is in progress. Slow responses end last, so a
+    /// verdict on those that have ended would come from the fast ones.
+    void reportSlow()
+    {
+        m_slow = true;
+        if (m_outcomeReported)
+            return;
+        m_outcomeReported = true;
+        m_dependencies.reportOutcome({m_service, m_route->name, m_chosen.side, false, true});
+    }
+
+    /// Takes the mean interval between the events of the current stream over its first events, or
+    /// over all of them if there are fewer, and compares that of a candidate with the baseline
+    /// version's. A stream that has already exceeded the time allowed for so many events is slow at
+    /// once.
+    void recordEvents(std::size_t count)
+    {
+        if (m_eventsInSend == 0)
+            m_firstEventAt = now();
+        m_eventsInSend += count;
+        m_lastEventAt = now();
+        if (m_eventsInSend >= eventsForInterval)
+            recordEventInterval();
+        else if (isOnCandidate() && !m_intervalRecorded) {
+            const auto limit = m_state.slowEventInterval(m_route->name, model());
+            if (limit && m_lastEventAt - m_firstEventAt > *limit * (eventsForInterval - 1))
+                recordEventInterval();
+        }
+    }
+
+    void recordEventInterval()
+    {
+        if (m_intervalRecorded || m_eventsInSend < minEventsForInterval)
+            return;
+        m_intervalRecorded = true;
+        const duration interval
+            = (m_lastEventAt - m_firstEventAt) / static_cast<duration::rep>(m_eventsInSend - 1);
+        if (!isOnCandidate()) {
+            m_state.recordEventInterval(m_route->name, model(), interval);
+            return;
+        }
+        const auto limit = m_state.slowEventInterval(m_route->name, model());
+        if (limit && interval > *limit)
+            reportSlow();
+    }
+
     void call(const boost::asio::ip::tcp::endpoint &endpoint)
     {
         attempt_options options;
@@ -427,7 +503,8 @@
         const duration latency = now() - m_sentAt;
         m_firstByteLatency = latency;
         m_state.recordFirstByte(m_chosen, latency);
-        m_slow = m_state.recordLatency(m_route->name, model(), m_chosen.side, latency);
+        if (m_state.recordLatency(m_route->name, model(), m_chosen.side, latency))
+            reportSlow();
         m_dependencies.metrics.firstByteSeconds(toString(m_route->kind))
             .Observe(std::chrono::duration<double>(latency).count());
     }
@@ -474,7 +551,10 @@
             }
             return;
         }
-        for (const numbered_event &event : m_splitter.feed(piece)) {
+        const std::vector<numbered_event> events = m_splitter.feed(piece);
+        if (!events.empty())
+            recordEvents(events.size());
+        for (const numbered_event &event : events) {
             if (m_lastEventId && event.id && *event.id <= *m_lastEventId) {
                 // Already sent: the instance did not continue after the last event.
                 m_call.cancel();
@@ -552,6 +632,7 @@
             return;
         }
         beginStream();
+        recordEventInterval();
         m_writer->write(m_splitter.partial());
         endSend(send_result::answered, "answered");
         m_writer->end();
@@ -669,12 +750,14 @@
         if ((failed || result == send_result::broken) && m_chosen.side == version_side::candidate)
             m_failedOnCandidate = true;
         if (m_chosen.inRollout && (failed || result == send_result::answered)) {
-            m_dependencies.reportOutcome({m_service, m_route->name, m_chosen.side, failed, m_slow});
+            if (!m_outcomeReported)
+                m_dependencies.reportOutcome(
+                    {m_service, m_route->name, m_chosen.side, failed, m_slow});
             for (unsigned i = 0; i < earlierBrokenSends; ++i)
                 m_dependencies.reportOutcome(
                     {m_service, m_route->name, m_chosen.side, true, false});
         }
-        m_slow = false;
+        m_slowTimer.cancel();
         if (result != send_result::answered)
             logEvent(log_level::info, "send_ended",
                      {{"request", m_request.id},
@@ -811,6 +894,7 @@
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     std::function<void()> m_onCrashEvidence;
     one_shot_timer m_timer;
+    one_shot_timer m_slowTimer;
     time_point m_started;
     time_point m_deadline;
     time_point m_sendDeadline;
@@ -837,8 +921,13 @@
     bool m_awaitingConfig = false;
     bool m_sending = false;
     bool m_responseBegun = false;
-    bool m_bodyBegun = false; ///< A byte of the current send's response body has arrived.
-    bool m_slow = false;      ///< The candidate responded much more slowly than the baseline.
+    bool m_bodyBegun = false;       ///< A byte of the current send's response body has arrived.
+    bool m_slow = false;            ///< The candidate responds much more slowly than the baseline.
+    bool m_outcomeReported = false; ///< Of the current send, before its end.
+    std::size_t m_eventsInSend = 0;
+    bool m_intervalRecorded = false; ///< Of the current send.
+    time_point m_firstEventAt;       ///< Of the current send.
+    time_point m_lastEventAt;        ///< Of the current send.
     bool m_mayHaveRun = false;
     bool m_failedOnCandidate = false;
     bool m_streaming = false;        ///< The response head has been sent to the client.
--- a/goldcrestdeck/testing/router_core_test.cc
+++ b/goldcrestdeck/testing/router_core_test.cc
@@ -157,7 +157,8 @@
             if (lineEnd == "\r" && blankLine != "\r")
                 continue; // A CR before a line end of another kind is ambiguous.
             numbered_event_splitter splitter;
-            const std::string text = "data: a" + lineEnd + blankLine;
+            std::string text = "data: a";
+            text.append(lineEnd).append(blankLine);
             std::string received;
             for (const char byte : text + "d") {
                 for (const numbered_event &event : splitter.feed(std::string(1, byte)))
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -32,6 +32,16 @@
 /// more than slowSeconds.
 constexpr double slowRatio = 3;
 constexpr double slowSeconds = 0.25;
+/// A stream of the candidate is slow if the mean interval between its events exceeds
+/// slowIntervalRatio times the given quantile of the baseline version's by more than
+/// slowIntervalSeconds. An idle candidate that is several times slower can still be faster than a
+/// loaded baseline's slowest streams, but not than most of them.
+constexpr double intervalQuantile = 0.9;
+constexpr double slowIntervalRatio = 1.2;
+constexpr double slowIntervalSeconds = 0.002;
+/// Streams of the baseline version that the quantile is taken from, at least and at most.
+constexpr std::size_t minIntervals = 8;
+constexpr std::size_t maxIntervals = 64;
 constexpr double latencyWeight = 0.1;
 /// Fixed part of the time to first byte, in prompt tokens: engines take about as long for the first
 /// output token as for processing this many.
@@ -284,17 +294,41 @@
 bool traffic_state::recordLatency(const std::string &route, const std::string &model,
                                   version_side side, duration latency)
 {
-    const double seconds = std::chrono::duration<double>(latency).count();
-    const std::string key = route + ' ' + model;
-    const auto known = m_routeLatencies.find(key);
-    if (side == version_side::baseline) {
-        if (known == m_routeLatencies.end())
-            m_routeLatencies[key] = seconds;
-        else
-            known->second += latencyWeight * (seconds - known->second);
-        return false;
+    if (side == version_side::candidate) {
+        const auto limit = slowLatency(route, model);
+        return limit && latency > *limit;
     }
-    return known != m_routeLatencies.end() && seconds > slowRatio * known->second + slowSeconds;
+    const double seconds = std::chrono::duration<double>(latency).count();
+    const auto known = m_routeLatencies.emplace(route + ' ' + model, seconds).first;
+    known->second += latencyWeight * (seconds - known->second);
+    return false;
+}
+
+std::optional<duration> traffic_state::slowLatency(const std::string &route,
+                                                   const std::string &model) const
+{
+    const auto known = m_routeLatencies.find(route + ' ' + model);
+    if (known == m_routeLatencies.end())
+        return std::nullopt;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(slowRatio * known->second + slowSeconds));
+}
+
+void traffic_state::recordEventInterval(const std::string &route, const std::string &model,
+                                        duration interval)
+{
+    m_eventIntervals.emplace(route + ' ' + model, recent_values(maxIntervals))
+        .first->second.add(std::chrono::duration<double>(interval).count());
+}
+
+std::optional<duration> traffic_state::slowEventInterval(const std::string &route,
+                                                         const std::string &model) const
+{
+    const auto known = m_eventIntervals.find(route + ' ' + model);
+    if (known == m_eventIntervals.end() || known->second.count() < minIntervals)
+        return std::nullopt;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+        slowIntervalRatio * known->second.quantile(intervalQuantile) + slowIntervalSeconds));
 }
 
 std::vector<std::uint64_t> traffic_state::baselineSessions(const rollout_order &order,
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "goldcrestdeck/placement.h"
+#include "goldcrestdeck/recent_values.h"
 #include "goldcrestdeck/retry_allowance.h"
 #include "goldcrestdeck/router_settings.h"
 #include "goldcrestdeck/routing_view.h"
@@ -104,6 +105,16 @@
     bool recordLatency(const std::string &route, const std::string &model, version_side side,
                        duration latency);
 
+    /// The latency above which recordLatency() finds a response of the candidate slow; nullopt if
+    /// no response of the baseline version has been recorded.
+    std::optional<duration> slowLatency(const std::string &route, const std::string &model) const;
+    /// Records the mean interval between the events of a stream of the baseline version.
+    void recordEventInterval(const std::string &route, const std::string &model, duration interval);
+    /// The mean interval above which a stream of the candidate is slow; nullopt as long as too few
+    /// of the baseline version are known.
+    std::optional<duration> slowEventInterval(const std::string &route,
+                                              const std::string &model) const;
+
     /// Digests of the sessions within the canary share of \a order that this host has recently
     /// routed to the baseline version.
     std::vector<std::uint64_t> baselineSessions(const rollout_order &order, time_point now) const;
@@ -161,6 +172,7 @@
     /// By service, with the revision of the order.
     std::map<std::string, std::pair<std::uint64_t, exposure_meter>> m_exposureMeters;
     std::map<std::string, double> m_routeLatencies;        ///< Seconds, by route and model.
+    std::map<std::string, recent_values> m_eventIntervals; ///< Seconds, by route and model.
     std::map<std::string, token_latency> m_tokenLatencies; ///< By service and model.
     prompt_prefix_index m_prefixIndex;
     segment_quarantine m_quarantine;
