Responses whose chunk size never ends are cut off

Cause: the parser consumes a chunk size with its extensions only as a whole, and the bytes it had not consumed were not bounded: 80 MB were read for one request until its deadline (the stand-in stops there). Evidence and test: endless_response_fixture, four kinds. Change: a call fails as malformed when more than 128 KiB wait unparsed; the connection is closed. Why it works: nothing legitimate needs more than a head's limit before the parser can go on.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -28,6 +28,8 @@
 constexpr std::size_t readBytes = 4096;
 /// Limit on the status line and header fields of a response.
 constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
+/// Limit on bytes that the parser cannot consume yet, such as a chunk size with its extensions.
+constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeadBytes;
 /// Keep-alive timeout assumed for a server that does not send one.
 constexpr std::chrono::milliseconds defaultKeepAliveTimeout{4000};
 /// Limit on the idle connections to one server.
@@ -262,8 +264,11 @@
             }
             if (!reportProgress())
                 return;
-            if (error == http::error::need_more || used == 0)
+            if (error == http::error::need_more || used == 0) {
+                if (m_buffer.size() > maxUnparsedBytes)
+                    fail(call_failure::malformed);
                 return;
+            }
         }
     }
 
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -471,6 +471,63 @@
     EXPECT_EQ(200U, statusOf(promptRequest("s2", "common:40")));
 }
 
+/// Sends at-most-once requests and streams to instances whose responses never end.
+class endless_response_fixture : public forwarder_fixture
+{
+protected:
+    /// The largest response that is buffered, and what may be on its way in addition.
+    static constexpr std::size_t maxBytes = 20'000'000;
+
+    void expectCutOff(const instance_faults &faults, const std::string &request)
+    {
+        setFaults(faults);
+        const auto started = std::chrono::steady_clock::now();
+        EXPECT_EQ(502U, sendRequest(request).result_int());
+        EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(2500));
+        EXPECT_LT(onLoop([&] {
+                      std::size_t bytes = 0;
+                      for (const auto &standin : m_standins)
+                          bytes += standin->endlessBytes();
+                      return bytes;
+                  }),
+                  maxBytes);
+    }
+
+    static std::string onceRequest() { return requestText("POST", "/once/x", "r1", "", "{}"); }
+    static std::string closedRequest()
+    {
+        return requestText("POST", "/closed/x", "r1", "X-Model: m\r\n", "{}");
+    }
+};
+
+TEST_F(endless_response_fixture, head_without_end_is_cut_off)
+{
+    instance_faults faults;
+    faults.endlessHead = true;
+    expectCutOff(faults, onceRequest());
+}
+
+TEST_F(endless_response_fixture, body_without_end_is_cut_off)
+{
+    instance_faults faults;
+    faults.endlessBody = true;
+    expectCutOff(faults, onceRequest());
+}
+
+TEST_F(endless_response_fixture, event_without_end_is_cut_off)
+{
+    instance_faults faults;
+    faults.endlessBody = true;
+    expectCutOff(faults, closedRequest());
+}
+
+TEST_F(endless_response_fixture, chunk_size_without_end_is_cut_off)
+{
+    instance_faults faults;
+    faults.endlessChunkSize = true;
+    expectCutOff(faults, onceRequest());
+}
+
 TEST_F(forwarder_fixture, stream_with_last_event_id_starts_after_that_event)
 {
     instance_faults faults;
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::size_t endlessPieceBytes = 60'000;
+constexpr std::size_t maxEndlessBytes = 80'000'000;
+
 std::string responseHead(unsigned status, const std::string &id, const std::string &fields)
 {
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Request-Id: " + id + "\r\n"
@@ -70,6 +73,21 @@
         connection->write("these bytes are no answer\r\n\r\n");
         return;
     }
+    if (faults.endlessHead) {
+        connection->write("HTTP/1.1 200 OK\r\n");
+        sendEndlessly(connection, "X-Filler: " + std::string(endlessPieceBytes, 'x') + "\r\n");
+        return;
+    }
+    if (faults.endlessBody || faults.endlessChunkSize) {
+        std::string fields = "X-Response-Seal: s\r\nContent-Type: text/event-stream\r\n";
+        if (faults.endlessChunkSize)
+            fields += "Transfer-Encoding: chunked\r\n";
+        connection->write(responseHead(200, id, fields) + "\r\n");
+        if (faults.endlessChunkSize)
+            connection->write("1;");
+        sendEndlessly(connection, std::string(endlessPieceBytes, 'x'));
+        return;
+    }
     connection->runAfter(faults.delay, [=] { respond(request, connection, faults); });
 }
 
@@ -125,6 +143,17 @@
         connection->write(response);
 }
 
+void platform_instance::sendEndlessly(const std::shared_ptr<raw_connection> &connection,
+                                      const std::string &piece)
+{
+    // Bounded, so that a client that never closes fails its test instead of exhausting the memory.
+    if (!connection->isOpen() || m_endlessBytes > maxEndlessBytes)
+        return;
+    m_endlessBytes += piece.size();
+    connection->write(piece);
+    connection->runAfter(std::chrono::milliseconds(1), [=] { sendEndlessly(connection, piece); });
+}
+
 void platform_instance::streamFrom(const std::shared_ptr<raw_connection> &connection,
                                    const instance_faults &faults, int number)
 {
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -35,6 +35,9 @@
     bool duplicateResponse = false;   ///< Sends a second, unsolicited response.
     bool staleResponseFirst = false;  ///< Sends a response to an earlier request first.
     bool omitSeal = false;            ///< Omits X-Response-Seal.
+    bool endlessHead = false;         ///< Sends header fields until the connection is closed.
+    bool endlessBody = false;      ///< Sends a body without framing until the connection is closed.
+    bool endlessChunkSize = false; ///< Sends a chunk extension until the connection is closed.
     std::string
         crashSegment;     ///< Crashes when it begins the response to a prompt with this segment.
     bool garbage = false; ///< Sends bytes that are not HTTP.
@@ -59,6 +62,8 @@
     /// Number of streams whose client disconnected before the end.
     int abandonedStreams() const { return m_abandonedStreams; }
     void stop() { m_server.stop(); }
+    /// Bytes sent by the endless faults.
+    std::size_t endlessBytes() const { return m_endlessBytes; }
     bool hasCrashed() const { return m_hasCrashed; }
 
     /// Body of the complete response to a request.
@@ -71,6 +76,8 @@
                 const std::shared_ptr<raw_connection> &connection);
     void respond(const goldcrestdeck::http1_request &request,
                  const std::shared_ptr<raw_connection> &connection, const instance_faults &faults);
+    /// Sends \a piece again and again until the connection is closed.
+    void sendEndlessly(const std::shared_ptr<raw_connection> &connection, const std::string &piece);
     void streamFrom(const std::shared_ptr<raw_connection> &connection,
                     const instance_faults &faults, int number);
 
@@ -80,6 +87,7 @@
     std::vector<goldcrestdeck::http1_request> m_requests;
     int m_abandonedStreams = 0;
     bool m_hasCrashed = false;
+    std::size_t m_endlessBytes = 0;
     raw_server m_server;
 };
 
