Buffered responses are bounded together

Each body without end was cut off at 16 MiB, but nothing bounded them together: a dozen would exceed the 260 MB of a process. Evidence and test: endless_response_fixture.many_bodies_without_end_are_bounded_together, twelve requests; its bound is half of a process's memory. Change: beyond 48 MiB in all, responses of more than 1 MiB fail as malformed. Small ones are not affected. The stand-in waits for each piece to be sent before it writes the next. Why it works: the sum of all buffered bodies is counted as they arrive and released when a request ends or is sent again.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -43,6 +43,10 @@
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 /// Maximum size of a buffered (non-streaming) response; larger ones are treated as malformed.
 constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
+/// Maximum size of all buffered responses together. Beyond it, responses larger than
+/// largeResponseBytes are treated as malformed.
+constexpr std::size_t maxBufferedBytes = 48 * 1024 * 1024;
+constexpr std::size_t largeResponseBytes = 1024 * 1024;
 /// Fraction of the upstream's keep-alive timeout for which an idle connection is reused. Smaller
 /// for at-most-once requests, which cannot be retried if the upstream closes the connection
 /// meanwhile.
@@ -119,7 +123,7 @@
     active_request(forwarder_dependencies &dependencies, const std::optional<drain_schedule> &drain,
                    client_request request, std::shared_ptr<response_writer> writer,
                    std::shared_ptr<std::set<std::shared_ptr<active_request>>> activeRequests,
-                   std::function<void()> onCrashEvidence)
+                   std::function<void()> onCrashEvidence, std::size_t &bufferedBytes)
         : m_dependencies(dependencies)
         , m_drain(drain)
         , m_state(dependencies.state)
@@ -127,6 +131,7 @@
         , m_writer(std::move(writer))
         , m_activeRequests(std::move(activeRequests))
         , m_onCrashEvidence(std::move(onCrashEvidence))
+        , m_bufferedBytes(bufferedBytes)
         , m_timer(dependencies.io.get_executor())
         , m_slowTimer(dependencies.io.get_executor())
         , m_started(dependencies.time.now())
@@ -338,7 +343,7 @@
         m_responseBegun = false;
         m_bodyBegun = false;
         m_mode = response_mode::none;
-        m_body.clear();
+        releaseBody();
         m_splitter.discardPartial();
         m_eventsInSend = 0;
         m_intervalRecorded = false;
@@ -545,7 +550,9 @@
         }
         if (m_mode != response_mode::eventStream) {
             m_body += piece;
-            if (m_body.size() > maxResponseBytes) {
+            m_bufferedBytes += piece.size();
+            if (m_body.size() > maxResponseBytes
+                || (m_bufferedBytes > maxBufferedBytes && m_body.size() > largeResponseBytes)) {
                 m_call.cancel();
                 onFailure(call_failure::malformed);
             }
@@ -578,6 +585,12 @@
             m_call.pause();
     }
 
+    void releaseBody()
+    {
+        m_bufferedBytes -= m_body.size();
+        m_body.clear();
+    }
+
     void beginStream()
     {
         if (m_streaming)
@@ -856,6 +869,7 @@
     void finish(unsigned status, const std::string &outcome)
     {
         m_finished = true;
+        releaseBody();
         m_timer.cancel();
         const duration time = now() - m_started;
         const std::string kind = m_route != nullptr ? toString(m_route->kind) : "none";
@@ -893,6 +907,7 @@
     std::shared_ptr<response_writer> m_writer;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     std::function<void()> m_onCrashEvidence;
+    std::size_t &m_bufferedBytes; ///< Of all requests.
     one_shot_timer m_timer;
     one_shot_timer m_slowTimer;
     time_point m_started;
@@ -956,7 +971,7 @@
         client_request decoded = m_dependencies.wire.decodeRequest(std::move(request));
         const auto active = std::make_shared<active_request>(
             m_dependencies, m_drain, std::move(decoded), std::move(writer), m_activeRequests,
-            [this] { onCrashEvidence(); });
+            [this] { onCrashEvidence(); }, m_bufferedBytes);
         active->start();
     } catch (const request_error &error) {
         logEvent(log_level::info, "request_malformed", {{"error", error.what()}});
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -61,6 +61,8 @@
     void beginDraining(const drain_schedule &times);
     /// The number of requests in progress.
     std::size_t requestsInProgress() const;
+    /// Size of all response bodies that are being buffered.
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
 
 private:
     class active_request;
@@ -72,6 +74,7 @@
     std::optional<drain_schedule> m_drain;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     one_shot_timer m_reportTimer;
+    std::size_t m_bufferedBytes = 0;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -484,13 +484,17 @@
         const auto started = std::chrono::steady_clock::now();
         EXPECT_EQ(502U, sendRequest(request).result_int());
         EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(2500));
-        EXPECT_LT(onLoop([&] {
-                      std::size_t bytes = 0;
-                      for (const auto &standin : m_standins)
-                          bytes += standin->endlessBytes();
-                      return bytes;
-                  }),
-                  maxBytes);
+        EXPECT_LT(endlessBytes(), maxBytes);
+    }
+
+    std::size_t endlessBytes()
+    {
+        return onLoop([&] {
+            std::size_t bytes = 0;
+            for (const auto &standin : m_standins)
+                bytes += standin->endlessBytes();
+            return bytes;
+        });
     }
 
     static std::string onceRequest() { return requestText("POST", "/once/x", "r1", "", "{}"); }
@@ -514,6 +518,33 @@
     expectCutOff(faults, onceRequest());
 }
 
+TEST_F(endless_response_fixture, many_bodies_without_end_are_bounded_together)
+{
+    // Half of the memory of a process on the users' hosts.
+    constexpr std::size_t maxBufferedBytes = 130'000'000;
+    instance_faults faults;
+    faults.endlessBody = true;
+    setFaults(faults);
+    std::atomic<int> running{12};
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 12; ++i)
+        clients.emplace_back([this, i, &running] {
+            const std::string id = "r" + std::to_string(i);
+            EXPECT_EQ(502U, sendRequest(requestText("POST", "/once/x", id, "", "{}")).result_int());
+            --running;
+        });
+    std::size_t peak = 0;
+    while (running > 0) {
+        peak = std::max(peak, onLoop([&] { return m_forwarder->bufferedBytes(); }));
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    for (std::thread &client : clients)
+        client.join();
+    EXPECT_GT(peak, 0U);
+    EXPECT_LT(peak, maxBufferedBytes);
+    EXPECT_EQ(0U, onLoop([&] { return m_forwarder->bufferedBytes(); }));
+}
+
 TEST_F(endless_response_fixture, event_without_end_is_cut_off)
 {
     instance_faults faults;
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t endlessPieceBytes = 60'000;
-constexpr std::size_t maxEndlessBytes = 80'000'000;
+constexpr std::size_t maxEndlessBytes = 200'000'000;
 
 std::string responseHead(unsigned status, const std::string &id, const std::string &fields)
 {
@@ -149,8 +149,10 @@
     // Bounded, so that a client that never closes fails its test instead of exhausting the memory.
     if (!connection->isOpen() || m_endlessBytes > maxEndlessBytes)
         return;
-    m_endlessBytes += piece.size();
-    connection->write(piece);
+    if (connection->unsentBytes() == 0) {
+        m_endlessBytes += piece.size();
+        connection->write(piece);
+    }
     connection->runAfter(std::chrono::milliseconds(1), [=] { sendEndlessly(connection, piece); });
 }
 
--- a/standins/raw_server.h
+++ b/standins/raw_server.h
@@ -36,6 +36,8 @@
     /// Runs \a callback after \a delay, unless the connection has closed by then.
     void runAfter(std::chrono::milliseconds delay, std::function<void()> callback);
     bool isOpen() const { return m_open; }
+    /// Bytes that the operating system has not accepted yet.
+    std::size_t unsentBytes() const { return m_pending.size() + m_writing.size(); }
 
 private:
     void read();
