A stream that was answered is resumed though a segment of it is quarantined since

What callers saw: none reported; found in the reading of the diff. A stream under way whose segment fell under suspicion by mistake would be cut instead of resumed. Cause: the quarantine was asked before each send, but an answered request has shown that it crashes nothing. Change: the quarantine is asked until the first byte of a response body. The slow timer looks its limit up for candidates only; a test reserves its threads. Before (the condition taken out): forwarder_fixture.answered_stream_is_resumed_though_its_segment_is_quarantined_since failed. After: passes, with the other tests of the forwarder.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -315,9 +315,11 @@
     void send()
     {
         const time_point time = now();
-        if (const auto segment = m_state.quarantine().find(sharedSegments(), time)) {
-            refuseQuarantined(*segment);
-            return;
+        if (!m_answered) {
+            if (const auto segment = m_state.quarantine().find(sharedSegments(), time)) {
+                refuseQuarantined(*segment);
+                return;
+            }
         }
         const placement_request placement = placementRequest();
         const auto chosen = m_state.choose(placement, time);
@@ -364,8 +366,10 @@
     void setSlowTimer()
     {
         m_slowTimer.cancel();
+        if (!isOnCandidate())
+            return;
         const auto limit = m_state.slowLatency(m_route->name, model());
-        if (!isOnCandidate() || !limit)
+        if (!limit)
             return;
         const unsigned sendNumber = m_sends;
         m_slowTimer.set(*limit, [self = shared_from_this(), sendNumber] {
@@ -545,6 +549,7 @@
         recordResponseBytes();
         if (!m_bodyBegun) {
             m_bodyBegun = true;
+            m_answered = true;
             m_state.quarantine().recordAnswered(sharedSegments(), now());
             m_onCrashEvidence();
         }
@@ -729,9 +734,7 @@
     void refuseQuarantined(const quarantined_segment &segment)
     {
         const char *code = "segment_quarantined";
-        if (m_streaming)
-            abortStream(code);
-        else if (m_deliveries > 0)
+        if (m_deliveries > 0)
             refuse(http::status::bad_gateway, code, std::nullopt);
         else
             refuse(http::status::service_unavailable, code,
@@ -937,6 +940,7 @@
     bool m_sending = false;
     bool m_responseBegun = false;
     bool m_bodyBegun = false;       ///< A byte of the current send's response body has arrived.
+    bool m_answered = false;        ///< A byte of some response body has arrived.
     bool m_slow = false;            ///< The candidate responds much more slowly than the baseline.
     bool m_outcomeReported = false; ///< Of the current send, before its end.
     std::size_t m_eventsInSend = 0;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -463,6 +463,32 @@
     EXPECT_EQ(0, executionsOf("d"));
 }
 
+TEST_F(forwarder_fixture, answered_stream_is_resumed_though_its_segment_is_quarantined_since)
+{
+    instance_faults breaking;
+    breaking.events = 20;
+    breaking.eventInterval = milliseconds(20);
+    breaking.resetAfterEvents = 10;
+    setFaults(breaking);
+    std::thread suspicion([&] {
+        std::this_thread::sleep_for(milliseconds(100));
+        instance_faults healthy;
+        healthy.events = 20;
+        setFaults(healthy);
+        crash_report report;
+        for (const char *name : {"1", "2", "3"})
+            report.suspects.push_back({name, name, {"topic"}, {}});
+        onLoop([&] {
+            m_state.quarantine().merge(report, report_origin::otherHost, m_clock.now());
+            EXPECT_TRUE(m_state.quarantine().find({"topic"}, m_clock.now()));
+        });
+    });
+    const http1_response response
+        = sendRequest(streamRequest("r1", "X-Prompt-Prefix: topic:40,own:10\r\n"));
+    suspicion.join();
+    EXPECT_EQ(events(1, 20), response.body());
+}
+
 TEST_F(crashing_segment_fixture, sound_requests_with_its_other_segments_are_served)
 {
     for (int i = 0; i < 8; ++i)
@@ -525,9 +551,11 @@
     instance_faults faults;
     faults.endlessBody = true;
     setFaults(faults);
-    std::atomic<int> running{12};
+    constexpr int requests = 12;
+    std::atomic<int> running{requests};
     std::vector<std::thread> clients;
-    for (int i = 0; i < 12; ++i)
+    clients.reserve(requests);
+    for (int i = 0; i < requests; ++i)
         clients.emplace_back([this, i, &running] {
             const std::string id = "r" + std::to_string(i);
             EXPECT_EQ(502U, sendRequest(requestText("POST", "/once/x", id, "", "{}")).result_int());
