Log which limits on their request rate instances name

Change: the limit is decoded from the response (nonsense is reported and changes nothing) and remembered for each incarnation; lines instance_limit_named, instance_limit_lifted, instance_limit_malformed and, for each send to such an instance, sent_to_limited_instance with the reason of the send; gauge router_limited_instances. Sends are chosen as before.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -351,11 +351,25 @@
         m_intervalRecorded = false;
         m_slow = false;
         m_outcomeReported = false;
+        logSendToLimitedInstance();
         setTimer();
         setSlowTimer();
         call(endpoint);
     }
 
+    void logSendToLimitedInstance() const
+    {
+        const std::string incarnation = m_chosen.target.incarnation();
+        const auto limit = m_state.rateLimits().limitOf(incarnation);
+        if (limit)
+            logEvent(log_level::info, "sent_to_limited_instance",
+                     {{"request", m_request.id},
+                      {"instance", incarnation},
+                      {"per_second", std::to_string(*limit)},
+                      {"send", std::to_string(m_sends)},
+                      {"reason", m_sends > 1 ? m_retryReason : "first"}});
+    }
+
     bool isOnCandidate() const
     {
         return m_chosen.inRollout && m_chosen.side == version_side::candidate;
@@ -482,6 +496,7 @@
         m_head = head;
         m_metadata = m_dependencies.wire.decodeResponse(head);
         m_mode = response_mode::buffered;
+        recordRateLimit();
         if (m_metadata.notExecuted)
             return;
         handleResponseBegun();
@@ -505,6 +520,33 @@
         }
     }
 
+    /// Records the limit on its request rate that the instance names in its response.
+    void recordRateLimit()
+    {
+        // Another process may be listening at the address.
+        if (m_metadata.wrongInstance)
+            return;
+        const std::string incarnation = m_chosen.target.incarnation();
+        if (m_metadata.malformedRateLimit) {
+            logEvent(log_level::warning, "instance_limit_malformed",
+                     {{"request", m_request.id},
+                      {"instance", incarnation},
+                      {"text", *m_metadata.malformedRateLimit}});
+            return;
+        }
+        if (!m_state.rateLimits().recordResponse(incarnation, m_metadata.rateLimit, m_sentAt,
+                                                 now()))
+            return;
+        m_dependencies.metrics.limitedInstances.Set(
+            static_cast<double>(m_state.rateLimits().limitedCount()));
+        logEvent(log_level::info,
+                 m_metadata.rateLimit ? "instance_limit_named" : "instance_limit_lifted",
+                 {{"request", m_request.id},
+                  {"instance", incarnation},
+                  {"per_second", m_metadata.rateLimit ? std::to_string(*m_metadata.rateLimit) : ""},
+                  {"sent_ms_ago", formatMilliseconds(now() - m_sentAt)}});
+    }
+
     void handleResponseBegun()
     {
         m_responseBegun = true;
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -49,6 +49,8 @@
     , upstreamConnections(gauge("router_upstream_connections", "Open connections to upstreams."))
     , quarantinedSegments(gauge("router_quarantined_segments",
                                 "Prompt segments refused because they crash upstreams."))
+    , limitedInstances(gauge("router_limited_instances",
+                             "Upstream instances that have named a limit on their request rate."))
 { }
 
 std::string router_metrics::serialize() const
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -55,6 +55,7 @@
     prometheus::Gauge &requestsInProgress;
     prometheus::Gauge &upstreamConnections;
     prometheus::Gauge &quarantinedSegments;
+    prometheus::Gauge &limitedInstances;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -467,6 +467,7 @@
         for (const instance &entry : service.second)
             known.insert(entry.incarnation());
     }
+    m_rateLimits.retain(known);
     for (auto i = m_instances.begin(); i != m_instances.end();)
         i = i->second.inFlight == 0 && known.count(i->first) == 0 ? m_instances.erase(i)
                                                                   : std::next(i);
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 
+#include "goldcrestdeck/instance_rate_limits.h"
 #include "goldcrestdeck/placement.h"
 #include "goldcrestdeck/recent_values.h"
 #include "goldcrestdeck/retry_allowance.h"
@@ -122,6 +123,8 @@
     /// Prompt segments that crash instances. Reports of other hosts are merged by setView().
     segment_quarantine &quarantine() { return m_quarantine; }
 
+    instance_rate_limits &rateLimits() { return m_rateLimits; }
+
     std::size_t instanceCount(const std::string &service) const;
     /// \returns a uniform random number in [0, 1).
     double draw();
@@ -176,6 +179,7 @@
     std::map<std::string, token_latency> m_tokenLatencies; ///< By service and model.
     prompt_prefix_index m_prefixIndex;
     segment_quarantine m_quarantine;
+    instance_rate_limits m_rateLimits;
     time_point m_lastSweepAt;
 };
 
--- a/goldcrestdeck/wire_format.h
+++ b/goldcrestdeck/wire_format.h
@@ -63,6 +63,10 @@
     bool notExecuted = false;   ///< The upstream has not executed the request and will not.
     bool wrongInstance = false; ///< The address now belongs to another process.
     std::optional<unsigned> confidence; ///< The model's confidence in its response, 0 to 100.
+    /// Requests per second that the instance accepts from all hosts together, for as long as its
+    /// responses say so.
+    std::optional<double> rateLimit;
+    std::optional<std::string> malformedRateLimit; ///< The field's text if it is not a number.
 };
 
 struct wire_format {
