Tests that fail: instances that name a limit on their request rate get more than that

Change: the stand-in of an instance names a limit and notes when requests arrive. Two tests on four router processes: the limit binds all hosts together; a request at the limit is refused at once, truly not run, and every host learns that a limit ended.

--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -285,6 +285,107 @@
     EXPECT_EQ(0, executionsOf("late"));
 }
 
+/// Four hosts before instances of "engine", of which the first one names a limit on its rate.
+class rate_limit_process_fixture : public router_process_fixture
+{
+protected:
+    static constexpr int hosts = 4;
+    /// The users' bound on arrivals within rateWindow: 1.5 times the limit, and 5 more.
+    static constexpr std::chrono::seconds rateWindow{4};
+
+    rate_limit_process_fixture()
+    {
+        for (int i = 2; i < hosts; ++i)
+            startHost(i);
+        std::this_thread::sleep_for(milliseconds(1000)); // Until the hosts know each other.
+    }
+
+    /// Lets the first instance of "engine" name \a limit; empty: no limit.
+    void nameLimit(const std::string &limit)
+    {
+        onLoop([&] {
+            instance_faults stream;
+            stream.events = 2;
+            m_standins[2]->setFaults(stream);
+            stream.rateLimit = limit;
+            m_standins[1]->setFaults(stream);
+        });
+    }
+
+    /// Sends requests to all hosts in turn for \a time. \returns how many got another status than
+    /// 200.
+    int sendFor(milliseconds time)
+    {
+        int refused = 0;
+        const auto end = std::chrono::steady_clock::now() + time;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            const std::string id = "r" + std::to_string(m_sent++);
+            refused += sendRequest(i % hosts, streamRequest(id)).result_int() != 200;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return refused;
+    }
+
+    /// \returns the largest number of requests that reached the first instance of "engine" within
+    /// rateWindow, from \a begin on.
+    std::size_t mostInWindow(std::chrono::steady_clock::time_point begin)
+    {
+        const auto arrivals = onLoop([&] { return m_standins[1]->arrivals(); });
+        std::size_t most = 0;
+        for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), begin);
+             first != arrivals.end(); ++first) {
+            const auto last = std::lower_bound(first, arrivals.end(), *first + rateWindow);
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+
+    int m_sent = 0;
+};
+
+TEST_F(rate_limit_process_fixture, instance_gets_no_more_than_its_limit_from_all_hosts_together)
+{
+    nameLimit("");
+    sendFor(milliseconds(500));
+    nameLimit("1.5");
+    sendFor(milliseconds(500)); // Each host is told.
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(0, sendFor(milliseconds(6000)));
+    const std::size_t most = mostInWindow(begin);
+    EXPECT_LE(most, 1.5 * 1.5 * 4 + 5);
+    EXPECT_GE(most, 1.5); // It keeps serving.
+}
+
+TEST_F(rate_limit_process_fixture,
+       refusals_of_a_request_at_the_limit_are_true_and_instance_recovers)
+{
+    // Both instances name a limit, so that most requests cannot be sent.
+    onLoop([&] {
+        instance_faults stream;
+        stream.events = 2;
+        stream.rateLimit = "2";
+        m_standins[1]->setFaults(stream);
+        m_standins[2]->setFaults(stream);
+    });
+    sendFor(milliseconds(500));
+    const http1_response refusal = [&] {
+        for (int i = 0;; ++i) {
+            const std::string id = "refused" + std::to_string(i);
+            const http1_response response = sendRequest(0, streamRequest(id));
+            if (response.result_int() != 200 || i == 100) {
+                EXPECT_EQ(0, executionsOf(id));
+                return response;
+            }
+        }
+    }();
+    EXPECT_EQ(503U, refusal.result_int());
+    EXPECT_GT(std::stod(std::string(refusal["Retry-After"])), 0);
+    // All hosts learn that the limits are lifted, also those that could not send.
+    nameLimit("");
+    sendFor(milliseconds(6000));
+    EXPECT_EQ(0, sendFor(milliseconds(1000)));
+}
+
 TEST_F(router_process_fixture, log_pipe_that_is_never_read_does_not_block_requests)
 {
     const std::string pipe = m_folder + "/unread";
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -25,6 +25,11 @@
         + "\r\n\r\n" + body;
 }
 
+std::string limitField(const instance_faults &faults)
+{
+    return faults.rateLimit.empty() ? "" : "Server-Limit: " + faults.rateLimit + "\r\n";
+}
+
 } // namespace
 
 platform_instance::platform_instance(boost::asio::io_context &io,
@@ -52,6 +57,7 @@
 {
     const instance_faults faults = m_faults;
     m_requests.push_back(request);
+    m_arrivals.push_back(std::chrono::steady_clock::now());
     const std::string id(request["X-Request-Id"]);
     const std::string expected(request["X-Expect-Instance"]);
     if (faults.wrongInstance || (!expected.empty() && expected != m_id)) {
@@ -59,7 +65,8 @@
         return;
     }
     if (faults.rejectUnexecuted) {
-        connection->write(responseWithLength(503, id, "X-Not-Executed: 1\r\n", ""));
+        connection->write(
+            responseWithLength(503, id, limitField(faults) + "X-Not-Executed: 1\r\n", ""));
         return;
     }
     ++m_executions[id];
@@ -96,7 +103,7 @@
                                 const instance_faults &faults)
 {
     const std::string id(request["X-Request-Id"]);
-    std::string fields;
+    std::string fields = limitField(faults);
     if (!faults.omitSeal)
         fields += "X-Response-Seal: seal-" + m_id + "-" + id + "\r\n";
     const bool isSmall = request["X-Model"] == "small";
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -39,8 +39,9 @@
     bool endlessBody = false;      ///< Sends a body without framing until the connection is closed.
     bool endlessChunkSize = false; ///< Sends a chunk extension until the connection is closed.
     std::string
-        crashSegment;     ///< Crashes when it begins the response to a prompt with this segment.
-    bool garbage = false; ///< Sends bytes that are not HTTP.
+        crashSegment;      ///< Crashes when it begins the response to a prompt with this segment.
+    std::string rateLimit; ///< Named as Server-Limit in each response; empty: none.
+    bool garbage = false;  ///< Sends bytes that are not HTTP.
     bool earlyResponse = false; ///< Responds before the body is read; for long bodies.
 };
 
@@ -57,6 +58,11 @@
     /// Number of executions of each request, by request id.
     const std::map<std::string, int> &executions() const { return m_executions; }
     const std::vector<goldcrestdeck::http1_request> &requests() const { return m_requests; }
+    /// When each of requests() arrived.
+    const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
+    {
+        return m_arrivals;
+    }
     /// Number of connections accepted so far.
     std::size_t connections() const { return m_server.acceptedConnections(); }
     /// Number of streams whose client disconnected before the end.
@@ -85,6 +91,7 @@
     instance_faults m_faults;
     std::map<std::string, int> m_executions;
     std::vector<goldcrestdeck::http1_request> m_requests;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     int m_abandonedStreams = 0;
     bool m_hasCrashed = false;
     std::size_t m_endlessBytes = 0;
