Limits that instances name bind all hosts together

Cause: no code read Server-Limit; the instance got its usual share. Class: a bound that upstreams set for the whole fleet and that no part of the product divides among the hosts (as the retry budget and the exposure of a candidate are divided). The registered hosts are ranked alike for each instance, and the first 3 + L of them space their sends by (3 + L) / L seconds; others send nothing. traffic_state.choose() is the one place that first sends, retries, resumed streams and upgrades pass. Hosts tell each other limits and their end through the store (goldcrestdeck/limits/INCARNATION). What cannot be sent is refused at once as not run, with a Retry-After from the next free place; an answer of a small model, or a running send, is not given up unless another can be had. Limits never move a session off its version nor send more to a candidate. A host that is cut off keeps its share as long as its registration surely holds, then takes one host's part of the fleet.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -34,6 +34,8 @@
 constexpr std::chrono::milliseconds drainingRetryAfter{50};
 /// Retry-After when no instance accepted the request; jittered by up to 50% either way.
 constexpr std::chrono::milliseconds busyRetryAfter{600};
+/// Upper bound of Retry-After, before its jitter, when the instances' limits leave no place.
+constexpr std::chrono::milliseconds maxLimitedRetryAfter{3000};
 /// Maximum number of instances that may reject a request unexecuted before the client is refused.
 constexpr unsigned maxRejections = 4;
 /// Maximum number of connection failures per request. Higher than maxRejections because a failed
@@ -282,7 +284,8 @@
             setTimer();
             return;
         }
-        if (canRetry && m_state.mayRetry(m_service, retry_reason::failure, time)) {
+        if (canRetry && m_state.mayRetry(m_service, retry_reason::failure, time)
+            && m_state.choose(placementRequest(), time)) {
             m_call.cancel();
             m_mayHaveRun = true;
             endSend(send_result::broken, "slow");
@@ -324,7 +327,7 @@
         const placement_request placement = placementRequest();
         const auto chosen = m_state.choose(placement, time);
         if (!chosen) {
-            finishFailed("no_instance");
+            finishFailed(m_state.isRateLimited(m_service) ? "instances_at_limit" : "no_instance");
             return;
         }
         const boost::asio::ip::tcp::endpoint endpoint = parseEndpoint(chosen->target.address);
@@ -509,7 +512,8 @@
         m_mode = response_mode::eventStream;
         if (m_streaming)
             return;
-        if (const auto next = largerModel()) {
+        const auto next = largerModel();
+        if (next && canUpgrade(*next)) {
             m_call.cancel();
             recordUnansweredSend();
             endSend(send_result::answered, "unsure");
@@ -545,6 +549,7 @@
                   {"instance", incarnation},
                   {"per_second", m_metadata.rateLimit ? std::to_string(*m_metadata.rateLimit) : ""},
                   {"sent_ms_ago", formatMilliseconds(now() - m_sentAt)}});
+        m_dependencies.reportRateLimit({incarnation, m_metadata.rateLimit});
     }
 
     void handleResponseBegun()
@@ -586,6 +591,16 @@
         return nextModel(state, cascade_parameters());
     }
 
+    /// Whether an instance is available for the request with another model; the current response
+    /// is given up only for that.
+    bool canUpgrade(std::size_t modelIndex) const
+    {
+        placement_request placement = placementRequest();
+        placement.model = m_route->models[modelIndex];
+        placement.triedIncarnations.clear();
+        return m_state.choose(placement, now()).has_value();
+    }
+
     void onBody(std::string piece)
     {
         recordResponseBytes();
@@ -769,10 +784,21 @@
             const double jitter = 0.5 + m_state.draw();
             refuse(http::status::service_unavailable, code,
                    std::chrono::milliseconds(
-                       std::lround(jitter * static_cast<double>(busyRetryAfter.count()))));
+                       std::lround(jitter * static_cast<double>(retryAfter().count()))));
         }
     }
 
+    /// Mean Retry-After of a request that has not run. If the instances' limits allow this host to
+    /// send one sooner or later than usual, then at that time; other hosts have other shares.
+    std::chrono::milliseconds retryAfter() const
+    {
+        const auto next = m_state.nextSendAt(m_service, now());
+        if (!next || !m_state.isRateLimited(m_service))
+            return busyRetryAfter;
+        return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(*next - now()),
+                          busyRetryAfter, maxLimitedRetryAfter);
+    }
+
     void refuseQuarantined(const quarantined_segment &segment)
     {
         const char *code = "segment_quarantined";
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -43,6 +43,9 @@
     std::function<void(const request_outcome &)> reportOutcome;
     /// Passes this host's evidence on crashes of instances to the control thread, for other hosts.
     std::function<void(const crash_report &)> reportCrashes;
+    /// Passes a limit that an instance names, or no longer names, to the control thread, for other
+    /// hosts.
+    std::function<void(const rate_limit_report &)> reportRateLimit;
 };
 
 class forwarder
--- a/goldcrestdeck/host_registration.cc
+++ b/goldcrestdeck/host_registration.cc
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// Hosts that poll a dead host detect the failure at once by themselves, so this only limits for
-/// how long they keep retrying it from time to time.
-constexpr std::chrono::milliseconds leaseDuration{30'000};
-/// Two renewals may be missed before the lease expires.
-constexpr std::chrono::milliseconds renewInterval{10'000};
 /// After a call that failed or got no response.
 constexpr std::chrono::milliseconds retryDelay{5'000};
 
@@ -45,7 +40,7 @@
 
 void host_registration::acquireLease()
 {
-    m_store.grantLease(leaseDuration, [this](std::uint64_t lease) {
+    m_store.grantLease(hostRegistrationLifetime, [this](std::uint64_t lease) {
         m_lease = lease;
         if (lease == 0)
             schedule(retryDelay, &host_registration::acquireLease);
@@ -63,7 +58,7 @@
         logEvent(log_level::info, "host_registered",
                  {{"key", m_key}, {"outcome", toString(result.outcome)}});
         if (result.outcome == kv_outcome::done)
-            schedule(renewInterval, &host_registration::renew);
+            schedule(hostRegistrationRenewal, &host_registration::renew);
         else
             schedule(retryDelay, &host_registration::acquireLease);
     });
@@ -73,7 +68,7 @@
 {
     m_store.renewLease(m_lease, [this](kv_outcome outcome) {
         if (outcome == kv_outcome::done)
-            schedule(renewInterval, &host_registration::renew);
+            schedule(hostRegistrationRenewal, &host_registration::renew);
         else if (outcome == kv_outcome::conflict)
             schedule(std::chrono::milliseconds(0), &host_registration::acquireLease);
         else
--- a/goldcrestdeck/host_registration.h
+++ b/goldcrestdeck/host_registration.h
@@ -16,6 +16,12 @@
 
 namespace goldcrestdeck {
 
+/// Time after which a registration that is not renewed expires. Hosts that poll a dead host detect
+/// the failure at once by themselves, so this only limits for how long they keep retrying it.
+constexpr std::chrono::milliseconds hostRegistrationLifetime{30'000};
+/// Interval between renewals; two may be missed before the registration expires.
+constexpr std::chrono::milliseconds hostRegistrationRenewal{10'000};
+
 class host_registration
 {
 public:
--- a/goldcrestdeck/routing_view.h
+++ b/goldcrestdeck/routing_view.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "goldcrestdeck/instance_directory.h"
+#include "goldcrestdeck/rate_limit_report.h"
 #include "goldcrestdeck/routing_config.h"
 #include "goldcrestdeck/segment_quarantine.h"
 #include "goldcrestdeck/version_rollout.h"
@@ -41,12 +42,23 @@
     time_point receivedAt;
 };
 
+/// The latest report on one instance.
+struct received_rate_limit {
+    rate_limit_report report;
+    time_point receivedAt;
+};
+
 struct routing_view {
     std::shared_ptr<const routing_config> config;           ///< nullptr until one is known.
     std::map<std::string, std::vector<instance>> instances; ///< By service.
     std::map<std::string, service_rollout> rollouts;        ///< By service.
     /// By host.
     std::map<std::string, std::shared_ptr<const received_crash_report>> crashReports;
+    /// By incarnation.
+    std::map<std::string, std::shared_ptr<const received_rate_limit>> rateLimits;
+    /// Names of the hosts that are registered now.
+    std::shared_ptr<const std::set<std::string>> hosts
+        = std::make_shared<const std::set<std::string>>();
     /// Number of hosts among which the bounds that hold for the whole fleet are divided.
     std::size_t fleetSize = minFleetSize;
 };
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -44,6 +44,12 @@
 constexpr const char *sessionsPrefix = "sessions/";
 constexpr const char *hostsPrefix = "hosts/";
 constexpr const char *crashesPrefix = "crashes/";
+constexpr const char *limitsPrefix = "limits/";
+/// Lifetime of a report on the limit of an instance. An instance that still names it then tells
+/// hosts anew.
+constexpr std::chrono::milliseconds rateLimitLifetime{600'000};
+/// Number of reports written in one transaction; the service accepts 32 writes.
+constexpr std::size_t maxWrittenRateLimits = 32;
 
 bool startsWith(const std::string &text, const std::string &prefix)
 {
@@ -393,6 +399,7 @@
         m_dirty = true;
     advanceRollouts();
     writeCrashReport();
+    writeRateLimits();
     if (m_dirty)
         publish();
     const auto callbacks = std::move(m_confirmCallbacks);
@@ -450,6 +457,9 @@
         m_dirty = m_rollouts.dropOrder(key.substr(m_layout.orderPrefix.size())) || m_dirty;
     } else if (startsWith(key, m_layout.internalPrefix + hostsPrefix)) {
         m_hosts.erase(key.substr((m_layout.internalPrefix + hostsPrefix).size()));
+        m_dirty = true;
+    } else if (startsWith(key, m_layout.internalPrefix + limitsPrefix)) {
+        m_rateLimits.erase(key.substr((m_layout.internalPrefix + limitsPrefix).size()));
     }
 }
 
@@ -517,11 +527,13 @@
     }
     if (startsWith(name, hostsPrefix)) {
         const std::string host = name.substr(std::string(hostsPrefix).size());
+        m_dirty = m_hosts.count(host) == 0 || m_dirty;
         m_hosts[host] = decodeRegisteredHost(host, item.value);
-        if (m_hosts.size() > m_fleetSize) {
-            m_fleetSize = m_hosts.size();
-            m_dirty = true;
-        }
+        m_fleetSize = std::max(m_fleetSize, m_hosts.size());
+        return;
+    }
+    if (startsWith(name, limitsPrefix)) {
+        applyRateLimit(name.substr(std::string(limitsPrefix).size()), item);
         return;
     }
     if (startsWith(name, crashesPrefix)) {
@@ -581,38 +593,104 @@
     if (!m_unwrittenCrashReport || m_writingCrashReport || m_stopped)
         return;
     m_writingCrashReport = true;
-    const auto lifetime = quarantine_parameters().lifetime;
-    m_store.grantLease(lifetime, [this](std::uint64_t lease) {
-        crash_report report = std::move(*m_unwrittenCrashReport);
-        m_unwrittenCrashReport.reset();
-        const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_clock.now() - m_crashReportMadeAt);
-        const auto onWritten = [this, report](kv_outcome outcome) {
-            m_writingCrashReport = false;
-            logEvent(log_level::info, "crash_report_written",
-                     {{"suspects", std::to_string(report.suspects.size())},
-                      {"answered", std::to_string(report.answered.size())},
-                      {"outcome", toString(outcome)}});
-            // The next poll repeats the call, unless there is a newer report by then.
-            if (outcome != kv_outcome::done && !m_unwrittenCrashReport)
-                m_unwrittenCrashReport = report;
-        };
-        if (lease == 0) {
-            onWritten(kv_outcome::refused);
-            return;
-        }
-        crash_report aged = report;
-        for (crash_suspect &suspect : aged.suspects)
-            suspect.age += delay;
-        for (answered_segment &answered : aged.answered)
-            answered.age += delay;
-        kv_transaction transaction;
-        transaction.writes.push_back({m_layout.internalPrefix + crashesPrefix + m_settings.name,
-                                      encodeCrashReport(aged), 0});
-        transaction.lease = lease;
-        m_store.transact(transaction, [onWritten](const kv_transaction_result &result) {
-            onWritten(result.outcome);
+    const crash_report report = *std::exchange(m_unwrittenCrashReport, std::nullopt);
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now()
+                                                                             - m_crashReportMadeAt);
+    crash_report aged = report;
+    for (crash_suspect &suspect : aged.suspects)
+        suspect.age += delay;
+    for (answered_segment &answered : aged.answered)
+        answered.age += delay;
+    const kv_item item{m_layout.internalPrefix + crashesPrefix + m_settings.name,
+                       encodeCrashReport(aged), 0};
+    writeExpiring(quarantine_parameters().lifetime, {item}, [this, report](kv_outcome outcome) {
+        m_writingCrashReport = false;
+        logEvent(log_level::info, "crash_report_written",
+                 {{"suspects", std::to_string(report.suspects.size())},
+                  {"answered", std::to_string(report.answered.size())},
+                  {"outcome", toString(outcome)}});
+        // The next poll repeats the call, unless there is a newer report by then.
+        if (outcome != kv_outcome::done && !m_unwrittenCrashReport)
+            m_unwrittenCrashReport = report;
+    });
+}
+
+void store_follower::writeExpiring(std::chrono::milliseconds lifetime, std::vector<kv_item> writes,
+                                   std::function<void(kv_outcome)> done)
+{
+    m_store.grantLease(
+        lifetime, [this, writes = std::move(writes), done = std::move(done)](std::uint64_t lease) {
+            if (lease == 0) {
+                done(kv_outcome::refused);
+                return;
+            }
+            kv_transaction transaction;
+            transaction.writes = writes;
+            transaction.lease = lease;
+            m_store.transact(transaction,
+                             [done](const kv_transaction_result &result) { done(result.outcome); });
         });
+}
+
+bool store_follower::isKnown(const rate_limit_report &report) const
+{
+    const auto known = m_rateLimits.find(report.incarnation);
+    // What nobody has reported as limited is not.
+    return known == m_rateLimits.end() ? !report.perSecond : known->second->report == report;
+}
+
+void store_follower::applyRateLimit(const std::string &incarnation, const kv_item &item)
+{
+    const rate_limit_report report = decodeRateLimit(incarnation, item.value);
+    if (isKnown(report))
+        return;
+    logEvent(log_level::info, "instance_limit_read",
+             {{"instance", incarnation},
+              {"per_second", report.perSecond ? std::to_string(*report.perSecond) : ""},
+              {"revision", std::to_string(item.revision)}});
+    m_rateLimits[incarnation]
+        = std::make_shared<const received_rate_limit>(received_rate_limit{report, m_clock.now()});
+    m_dirty = true;
+}
+
+void store_follower::publishRateLimit(const rate_limit_report &report)
+{
+    m_unwrittenRateLimits[report.incarnation] = report;
+    writeRateLimits();
+}
+
+void store_follower::writeRateLimits()
+{
+    if (m_writingRateLimits || m_stopped)
+        return;
+    std::vector<rate_limit_report> reports;
+    std::vector<kv_item> writes;
+    for (auto i = m_unwrittenRateLimits.begin();
+         i != m_unwrittenRateLimits.end() && reports.size() < maxWrittenRateLimits;
+         i = m_unwrittenRateLimits.erase(i)) {
+        if (isKnown(i->second))
+            continue;
+        reports.push_back(i->second);
+        writes.push_back(
+            {m_layout.internalPrefix + limitsPrefix + i->first, encodeRateLimit(i->second), 0});
+    }
+    if (reports.empty())
+        return;
+    m_writingRateLimits = true;
+    writeExpiring(rateLimitLifetime, writes, [this, reports](kv_outcome outcome) {
+        m_writingRateLimits = false;
+        logEvent(log_level::info, "instance_limits_written",
+                 {{"instances", std::to_string(reports.size())}, {"outcome", toString(outcome)}});
+        for (const rate_limit_report &report : reports) {
+            if (outcome == kv_outcome::done)
+                m_rateLimits[report.incarnation] = std::make_shared<const received_rate_limit>(
+                    received_rate_limit{report, m_clock.now()});
+            else
+                // The next poll repeats the call, unless there is a newer report by then.
+                m_unwrittenRateLimits.emplace(report.incarnation, report);
+        }
+        if (outcome == kv_outcome::done)
+            writeRateLimits();
     });
 }
 
@@ -626,6 +704,13 @@
     view->rollouts = m_rollouts.view(m_clock.now());
     view->fleetSize = m_fleetSize;
     view->crashReports = m_crashReports;
+    view->rateLimits = m_rateLimits;
+    std::set<std::string> names;
+    for (const auto &entry : m_hosts)
+        names.insert(entry.first);
+    if (!m_hostNames || *m_hostNames != names)
+        m_hostNames = std::make_shared<const std::set<std::string>>(std::move(names));
+    view->hosts = m_hostNames;
     m_onView(view);
 }
 
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -70,6 +70,10 @@
     /// after a failure until it succeeds.
     void publishCrashReport(const crash_report &report);
 
+    /// Writes what this host has heard of an instance's limit for the other hosts, unless they
+    /// know. Repeated after a failure until it succeeds.
+    void publishRateLimit(const rate_limit_report &report);
+
     bool hasConfig() const { return m_config != nullptr; }
 
     /// Returns this host's state as a JSON object, for operators: configuration, source of the
@@ -113,6 +117,13 @@
 
     void applyCrashReport(const std::string &host, const kv_item &item);
     void writeCrashReport();
+    void applyRateLimit(const std::string &incarnation, const kv_item &item);
+    void writeRateLimits();
+    /// Whether the latest report of any host says the same.
+    bool isKnown(const rate_limit_report &report) const;
+    /// Writes keys that expire after \a lifetime.
+    void writeExpiring(std::chrono::milliseconds lifetime, std::vector<kv_item> writes,
+                       std::function<void(kv_outcome)> done);
     void advanceRollouts();
     void writeRecord(const record_write &write);
     void publishTally(const rollout_order &order, const version_tally &tally);
@@ -135,7 +146,8 @@
     feed_cache m_feedCache;
     feed_link m_link;
     host_registration m_registration;
-    std::map<std::string, registered_host> m_hosts; ///< Registered hosts, by name.
+    std::map<std::string, registered_host> m_hosts;           ///< Registered hosts, by name.
+    std::shared_ptr<const std::set<std::string>> m_hostNames; ///< Of m_hosts, as last published.
     /// The largest number of hosts known at once. It never decreases: registrations expire in an
     /// outage of the service while the hosts go on.
     std::size_t m_fleetSize = minFleetSize;
@@ -170,6 +182,10 @@
     std::optional<crash_report> m_unwrittenCrashReport;
     time_point m_crashReportMadeAt;
     bool m_writingCrashReport = false;
+    /// By incarnation.
+    std::map<std::string, std::shared_ptr<const received_rate_limit>> m_rateLimits;
+    std::map<std::string, rate_limit_report> m_unwrittenRateLimits; ///< By incarnation.
+    bool m_writingRateLimits = false;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -613,6 +613,69 @@
     EXPECT_EQ("large", model);
 }
 
+/// Both instances of "engine" accept so few requests that nothing can be sent a second time.
+class limited_instances_fixture : public forwarder_fixture
+{
+protected:
+    limited_instances_fixture()
+    {
+        m_faults.events = 5;
+        setFaults(m_faults);
+        // Until the retry budget allows an upgrade.
+        for (int i = 0; i < 20; ++i)
+            sendRequest(streamRequest("r" + std::to_string(i)));
+        m_faults.rateLimit = "0.2";
+        setFaults(m_faults);
+        while (onLoop([&] { return m_state.rateLimits().limitedCount(); }) < 2)
+            sendRequest(streamRequest("told" + std::to_string(m_told++)));
+    }
+
+    /// Lets this host send one more request to each instance.
+    void allowOneEach()
+    {
+        m_faults.rateLimit = "";
+        onLoop([&] {
+            for (const instance &entry : m_instances["engine"])
+                m_state.rateLimits().recordReport({entry.incarnation(), std::nullopt},
+                                                  m_clock.now());
+        });
+        m_faults.rateLimit = "0.2";
+    }
+
+    instance_faults m_faults;
+    int m_told = 0;
+};
+
+TEST_F(limited_instances_fixture, request_is_refused_at_once_as_not_run)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const http1_response response = sendRequest(streamRequest("r"));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(500));
+    EXPECT_EQ(503U, response.result_int());
+    EXPECT_NE(std::string::npos, response.body().find("instances_at_limit"));
+    EXPECT_NE(std::string::npos, response.body().find(R"("run":"no")"));
+    EXPECT_GE(std::stod(std::string(response["Retry-After"])), 0.3);
+    EXPECT_EQ(0, executionsOf("r"));
+}
+
+TEST_F(limited_instances_fixture, answer_with_low_confidence_is_kept_if_no_other_can_be_had)
+{
+    allowOneEach();
+    m_faults.confidence = 10;
+    setFaults(m_faults);
+    // One instance is used up by a request that names its model.
+    EXPECT_EQ(
+        200U,
+        sendRequest(requestText("POST", "/closed/x", "c", "X-Model: m\r\n", "{}")).result_int());
+    EXPECT_EQ(events(1, 5), sendRequest(streamRequest("kept")).body());
+    EXPECT_EQ(1, executionsOf("kept"));
+}
+
+TEST_F(limited_instances_fixture, limits_are_reported_to_the_other_hosts_once)
+{
+    EXPECT_EQ(2U, onLoop([&] { return m_rateLimitReports.size(); }));
+}
+
 TEST_F(forwarder_fixture, client_disconnect_cancels_upstream_stream)
 {
     instance_faults faults;
--- a/goldcrestdeck/testing/traffic_state_test.cc
+++ b/goldcrestdeck/testing/traffic_state_test.cc
@@ -184,6 +184,49 @@
         EXPECT_EQ("v2", m_state.choose(requestOf(std::to_string(i)), m_time.now())->target.version);
 }
 
+/// All instances of one version have named a limit, and this host has just sent to them.
+class limited_version_fixture : public traffic_state_fixture
+{
+protected:
+    void exhaust(const std::string &version)
+    {
+        for (const instance &entry : m_state.view()->instances.at("engine")) {
+            if (entry.version != version)
+                continue;
+            m_state.rateLimits().recordResponse(entry.incarnation(), 0.1, m_time.now(),
+                                                m_time.now());
+        }
+    }
+};
+
+TEST_F(limited_version_fixture, new_session_of_an_exhausted_candidate_goes_to_the_baseline)
+{
+    const std::string session = canarySession();
+    exhaust("v2");
+    EXPECT_EQ(version_side::baseline, m_state.choose(requestOf(session), m_time.now())->side);
+}
+
+TEST_F(limited_version_fixture, session_on_an_exhausted_candidate_is_not_moved)
+{
+    const placement_request request = requestOf(canarySession());
+    const chosen_instance chosen = *m_state.choose(request, m_time.now());
+    m_state.recordSend(request, chosen, m_time.now());
+    exhaust("v2");
+    EXPECT_FALSE(m_state.choose(request, m_time.now()));
+    EXPECT_TRUE(m_state.isRateLimited("engine"));
+}
+
+TEST_F(limited_version_fixture, exhausted_baseline_sends_nothing_to_a_version_on_trial)
+{
+    exhaust("v1");
+    int candidate = 0;
+    for (int i = 0; i < 500; ++i) {
+        const auto chosen = m_state.choose(requestOf("s" + std::to_string(i)), m_time.now());
+        candidate += chosen ? 1 : 0;
+    }
+    EXPECT_LE(candidate, 500 * settings().exposureShare);
+}
+
 TEST_F(traffic_state_fixture, instance_with_high_failure_rate_is_ejected)
 {
     publishView(rollout_stage::rolledBack);
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -66,6 +66,7 @@
     , m_random(seed)
     , m_prefixIndex(promptCacheLifetime)
     , m_quarantine(quarantine_parameters())
+    , m_rateLimits(settings.name, seed)
 { }
 
 void traffic_state::setSettings(const router_settings &settings)
@@ -75,15 +76,20 @@
 
 void traffic_state::setView(std::shared_ptr<const routing_view> view)
 {
-    const auto isKnown = [](const routing_view &previous, const auto &entry) {
-        const auto known = previous.crashReports.find(entry.first);
-        return known != previous.crashReports.end() && known->second == entry.second;
+    const auto isKnown = [](const auto &previous, const auto &entry) {
+        const auto known = previous.find(entry.first);
+        return known != previous.end() && known->second == entry.second;
     };
     for (const auto &entry : view->crashReports) {
         const received_crash_report &received = *entry.second;
-        if (!m_view || !isKnown(*m_view, entry))
+        if (!m_view || !isKnown(m_view->crashReports, entry))
             m_quarantine.merge(received.report, received.origin, received.receivedAt);
     }
+    m_rateLimits.setHosts(view->hosts, view->fleetSize);
+    for (const auto &entry : view->rateLimits) {
+        if (!m_view || !isKnown(m_view->rateLimits, entry))
+            m_rateLimits.recordReport(entry.second->report, entry.second->receivedAt);
+    }
     m_view = std::move(view);
     for (auto &entry : m_allowances)
         entry.second.setHosts(m_view->fleetSize);
@@ -103,13 +109,22 @@
         side = chooseVersion(request, rollout->second, now);
     }
     std::vector<const instance *> eligibleInstances
-        = eligible(request, side, target, !inRollout, now);
+        = instancesOf(request, side, target, !inRollout);
     if (eligibleInstances.empty() && inRollout) {
         side = side == version_side::baseline ? version_side::candidate : version_side::baseline;
-        eligibleInstances = eligible(request, side, target, false, now);
+        eligibleInstances = instancesOf(request, side, target, false);
+    }
+    removeLimited(eligibleInstances, now);
+    // Limits never move a request to the candidate, nor a session off its version.
+    if (eligibleInstances.empty() && side == version_side::candidate
+        && lastSideOf(request, now) != version_side::candidate) {
+        side = version_side::baseline;
+        eligibleInstances = instancesOf(request, side, target, false);
+        removeLimited(eligibleInstances, now);
     }
     if (eligibleInstances.empty())
         return std::nullopt;
+    removeUnpromising(eligibleInstances, request, now);
     static const std::vector<prompt_segment> noPrompt;
     const std::vector<prompt_segment> &prompt
         = request.prompt != nullptr ? *request.prompt : noPrompt;
@@ -166,6 +181,7 @@
     instance_state &state = m_instances[incarnation];
     state.inFlight += 1;
     state.load += chosen.weight;
+    m_rateLimits.recordSend(incarnation, now);
     state.pendingPromptTokens += chosen.weight * chosen.uncachedTokens;
     if (request.prompt != nullptr)
         m_prefixIndex.recordPrompt(*request.prompt, request.model, incarnation, now);
@@ -357,9 +373,10 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-std::vector<const instance *> traffic_state::eligible(const placement_request &request,
-                                                      version_side side, const std::string &target,
-                                                      bool anyVersion, time_point now)
+std::vector<const instance *> traffic_state::instancesOf(const placement_request &request,
+                                                         version_side side,
+                                                         const std::string &target,
+                                                         bool anyVersion) const
 {
     std::vector<const instance *> usable;
     const auto found = m_view->instances.find(request.service);
@@ -370,15 +387,32 @@
         if (!entry.draining && (anyVersion || isCandidate == (side == version_side::candidate)))
             usable.push_back(&entry);
     }
+    return usable;
+}
+
+void traffic_state::removeLimited(std::vector<const instance *> &instances, time_point now) const
+{
+    if (m_rateLimits.limitedCount() == 0)
+        return;
+    const auto isLimited = [&](const instance *entry) {
+        const auto next = m_rateLimits.nextSendAt(entry->incarnation(), now);
+        return !next || *next > now;
+    };
+    instances.erase(std::remove_if(instances.begin(), instances.end(), isLimited), instances.end());
+}
+
+void traffic_state::removeUnpromising(std::vector<const instance *> &instances,
+                                      const placement_request &request, time_point now) const
+{
     // Excludes the matching instances unless none, or a fraction below minFraction, would remain.
     const auto exclude = [&](const auto &isExcluded, double minFraction) {
         std::vector<const instance *> remaining;
-        std::copy_if(usable.begin(), usable.end(), std::back_inserter(remaining),
+        std::copy_if(instances.begin(), instances.end(), std::back_inserter(remaining),
                      [&](const instance *entry) { return !isExcluded(*entry); });
         if (!remaining.empty()
             && static_cast<double>(remaining.size())
-                >= minFraction * static_cast<double>(usable.size()))
-            usable = std::move(remaining);
+                >= minFraction * static_cast<double>(instances.size()))
+            instances = std::move(remaining);
     };
     exclude(
         [&](const instance &entry) {
@@ -391,7 +425,32 @@
             return request.triedIncarnations.count(entry.incarnation()) > 0;
         },
         0);
-    return usable;
+}
+
+std::optional<time_point> traffic_state::nextSendAt(const std::string &service,
+                                                    time_point now) const
+{
+    std::optional<time_point> earliest;
+    const auto found = m_view->instances.find(service);
+    if (found == m_view->instances.end())
+        return earliest;
+    for (const instance &entry : found->second) {
+        if (entry.draining)
+            continue;
+        const auto next = m_rateLimits.nextSendAt(entry.incarnation(), now);
+        if (next && (!earliest || *next < *earliest))
+            earliest = next;
+    }
+    return earliest;
+}
+
+bool traffic_state::isRateLimited(const std::string &service) const
+{
+    const auto found = m_view->instances.find(service);
+    return found != m_view->instances.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const instance &entry) {
+               return m_rateLimits.limitOf(entry.incarnation()).has_value();
+           });
 }
 
 version_side traffic_state::chooseVersion(const placement_request &request,
@@ -400,9 +459,7 @@
     const rollout_stage stage
         = rollout.judgedBad ? rollout_stage::rolledBack : rollout.record.stage;
     session_history history;
-    const auto session = m_sessions.find({request.service, request.sessionKey});
-    if (session != m_sessions.end() && isRecent(session->second, now))
-        history.lastSide = session->second.side;
+    history.lastSide = lastSideOf(request, now);
     history.wasOnBaseline = rollout.baselineSessions
         && rollout.baselineSessions->count(sessionDigest(request.service, request.sessionKey)) > 0;
     const bool isViewCurrent = now - m_confirmedAt < maxRolloutViewAge;
@@ -419,6 +476,15 @@
     return chooseSide(stage, share, position, history, mayExpose);
 }
 
+std::optional<version_side> traffic_state::lastSideOf(const placement_request &request,
+                                                      time_point now) const
+{
+    const auto session = m_sessions.find({request.service, request.sessionKey});
+    if (session == m_sessions.end() || !isRecent(session->second, now))
+        return std::nullopt;
+    return session->second.side;
+}
+
 double traffic_state::modelWeight(const std::string &service, const std::string &model) const
 {
     const service_spec *spec = m_view->config ? m_view->config->service(service) : nullptr;
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -69,7 +69,11 @@
     void setView(std::shared_ptr<const routing_view> view);
     const std::shared_ptr<const routing_view> &view() const { return m_view; }
     /// Sets the time at which the latest store call that confirmed the view was sent.
-    void setConfirmedAt(time_point at) { m_confirmedAt = at; }
+    void setConfirmedAt(time_point at)
+    {
+        m_confirmedAt = at;
+        m_rateLimits.setConfirmedAt(at);
+    }
     time_point confirmedAt() const { return m_confirmedAt; }
     /// Whether the view is fresh enough to report that a route or an API key does not exist: it was
     /// confirmed within slightly more than one poll interval.
@@ -78,7 +82,14 @@
         return now - m_confirmedAt < m_settings.pollInterval() * maxFreshAgePolls;
     }
 
+    /// Chooses the instance to send a request to. \returns nullopt if there is none, or if this
+    /// host may not send to any of them now because of the limits that they have named.
     std::optional<chosen_instance> choose(const placement_request &request, time_point now);
+    /// \returns the earliest time at which this host may send to an instance of \a service; nullopt
+    /// if it has no share of their limits, or there is none.
+    std::optional<time_point> nextSendAt(const std::string &service, time_point now) const;
+    /// Whether an instance of \a service has named a limit.
+    bool isRateLimited(const std::string &service) const;
     void recordSend(const placement_request &request, const chosen_instance &chosen,
                     time_point now);
     /// Records that the response has begun, \a latency after the send.
@@ -154,11 +165,18 @@
     };
     using session_key = std::pair<std::string, std::string>; ///< Service and session.
 
-    std::vector<const instance *> eligible(const placement_request &request, version_side side,
-                                           const std::string &target, bool anyVersion,
-                                           time_point now);
+    /// The instances of one version, or of any, that are not draining.
+    std::vector<const instance *> instancesOf(const placement_request &request, version_side side,
+                                              const std::string &target, bool anyVersion) const;
+    /// Removes the instances that this host may not send to now.
+    void removeLimited(std::vector<const instance *> &instances, time_point now) const;
+    /// Removes ejected instances and those that were tried before, if enough others remain.
+    void removeUnpromising(std::vector<const instance *> &instances,
+                           const placement_request &request, time_point now) const;
     version_side chooseVersion(const placement_request &request, const service_rollout &rollout,
                                time_point now);
+    /// The version that the request's session was last sent to; nullopt if that is not recent.
+    std::optional<version_side> lastSideOf(const placement_request &request, time_point now) const;
     retry_allowance &retryAllowance(const std::string &service);
     bool isRecent(const session_entry &entry, time_point now) const;
     void expire(time_point now);
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -143,6 +143,10 @@
                 [this](const crash_report &report) {
                     asio::post(m_controlLoop,
                                [this, report] { m_storeFollower.publishCrashReport(report); });
+                },
+                [this](const rate_limit_report &report) {
+                    asio::post(m_controlLoop,
+                               [this, report] { m_storeFollower.publishRateLimit(report); });
                 }};
     }
 
