Tests of limits with the store away and with restarted hosts

Cause: a limit binds all hosts together; that it does when hosts cannot reach the store, and after restarts, was shown by the model only. Change: two tests on four router processes; one limits the instance while the store does not respond and lets the limit end, the other kills two hosts and starts them again.

--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -356,6 +356,40 @@
     EXPECT_GE(most, 1.5); // It keeps serving.
 }
 
+TEST_F(rate_limit_process_fixture, limit_named_while_the_store_is_away_binds_all_hosts)
+{
+    nameLimit("");
+    sendFor(milliseconds(500));
+    standins::store_faults away;
+    away.silent = true;
+    onLoop([&] { m_store.setFaults(away); });
+    nameLimit("1.5");
+    sendFor(milliseconds(500));
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(0, sendFor(milliseconds(5000)));
+    EXPECT_LE(mostInWindow(begin), 1.5 * 1.5 * 4 + 5);
+    // The other instance serves alone what is beyond the limit; both serve when it has ended.
+    nameLimit("");
+    EXPECT_EQ(0, sendFor(milliseconds(4000)));
+    const auto lifted = std::chrono::steady_clock::now();
+    EXPECT_EQ(0, sendFor(milliseconds(1000)));
+    EXPECT_GE(mostInWindow(lifted), 10U);
+}
+
+TEST_F(rate_limit_process_fixture, restarted_hosts_keep_to_a_limit_named_before)
+{
+    nameLimit("1.5");
+    sendFor(milliseconds(2500)); // Until the report is in the store.
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 2; ++i) {
+        m_hosts[i].process->signal(SIGKILL);
+        m_hosts[i].process->wait();
+        startHost(i);
+    }
+    EXPECT_EQ(0, sendFor(milliseconds(4000)));
+    EXPECT_LE(mostInWindow(begin), 1.5 * 1.5 * 4 + 5);
+}
+
 TEST_F(rate_limit_process_fixture,
        refusals_of_a_request_at_the_limit_are_true_and_instance_recovers)
 {
