--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -59,12 +59,13 @@
 } // namespace
 
 store_follower::store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
-                               store_layout layout, const router_settings &settings,
-                               view_listener onView, confirm_listener onConfirmed,
-                               session_source sessions)
+                               store_epoch &epoch, store_layout layout,
+                               const router_settings &settings, view_listener onView,
+                               confirm_listener onConfirmed, session_source sessions)
     : m_io(io)
     , m_clock(time)
     , m_store(std::move(store))
+    , m_epoch(epoch)
     , m_layout(std::move(layout))
     , m_settings(settings)
     , m_onView(std::move(onView))
@@ -81,7 +82,9 @@
                      encodeRegisteredHost(m_self))
     , m_instances(rejoinGracePeriod)
     , m_rollouts(settings.name, rolloutParameters(settings))
-{ }
+{
+    m_epoch.setListener([this](std::uint64_t previous) { onStoreRestored(previous); });
+}
 
 void store_follower::start()
 {
@@ -317,6 +320,7 @@
             m_registration.start();
         logEvent(log_level::info, "store_read",
                  {{"revision", std::to_string(m_revision)},
+                  {"epoch", std::to_string(m_epoch.current())},
                   {"instances", std::to_string(instances.size())}});
     }
     finishPoll(true);
@@ -356,12 +360,21 @@
     finishPoll(true);
 }
 
+void store_follower::onStoreRestored(std::uint64_t previousEpoch)
+{
+    logEvent(log_level::warning, "store_restored",
+             {{"epoch", std::to_string(m_epoch.current())},
+              {"previous", std::to_string(previousEpoch)},
+              {"revision", std::to_string(m_revision)}});
+}
+
 void store_follower::onContact(time_point sentAt)
 {
     const time_point now = m_clock.now();
     if (!m_reachable) {
         m_reachable = true;
-        logEvent(log_level::info, "store_regained", {});
+        logEvent(log_level::info, "store_regained",
+                 {{"source", m_source.empty() ? "store" : m_source}});
     }
     m_afterOutage = sentAt - m_lastContact > outageHeartbeats * m_settings.heartbeatInterval;
     if (m_afterOutage)
@@ -812,6 +825,7 @@
     state.set("host", m_settings.name);
     state.set("config_version", m_config ? m_config->version() : 0);
     state.set("store_revision", m_revision);
+    state.set("store_epoch", m_epoch.current());
     state.set("confirmed_ms_ago", static_cast<std::uint64_t>(std::max<long>(0, age.count())));
     state.set("store_reachable", m_reachable);
     state.set("hears_from", m_source.empty() ? "store" : m_source);
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -25,6 +25,7 @@
 #include "goldcrestdeck/rollout_member.h"
 #include "goldcrestdeck/router_settings.h"
 #include "goldcrestdeck/routing_view.h"
+#include "goldcrestdeck/store_epoch.h"
 
 namespace goldcrestdeck {
 
@@ -52,9 +53,10 @@
     using session_source = std::function<void(const rollout_order &,
                                               std::function<void(std::vector<std::uint64_t>)>)>;
 
+    /// \a epoch is the one that the binding of \a store observes.
     store_follower(boost::asio::io_context &io, const clock &time, async_kv_store store,
-                   store_layout layout, const router_settings &settings, view_listener onView,
-                   confirm_listener onConfirmed, session_source sessions);
+                   store_epoch &epoch, store_layout layout, const router_settings &settings,
+                   view_listener onView, confirm_listener onConfirmed, session_source sessions);
 
     void start();
     void stop();
@@ -104,6 +106,8 @@
     void onPage(const std::shared_ptr<full_read> &read, const kv_page &page);
     void onReadComplete(const full_read &read);
     void onChanges(const kv_changes &changes, time_point sentAt, feed_origin origin);
+    /// The service has come back from an older copy.
+    void onStoreRestored(std::uint64_t previousEpoch);
     void onContact(time_point sentAt);
     void onCallFailed(kv_outcome outcome);
     void finishPoll(bool succeeded);
@@ -135,6 +139,7 @@
     boost::asio::io_context &m_io;
     const clock &m_clock;
     async_kv_store m_store;
+    store_epoch &m_epoch;
     store_layout m_layout;
     router_settings m_settings;
     view_listener m_onView;
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -76,8 +76,9 @@
         , m_forwarder(forwarderDependencies())
         , m_storeFollower(
               m_controlLoop, m_clock,
-              platform::bindStore(m_storeClient, parseEndpoint(m_settings.storeAddress)),
-              platform::storeLayout(), m_settings,
+              platform::bindStore(m_storeClient, parseEndpoint(m_settings.storeAddress),
+                                  m_storeEpoch),
+              m_storeEpoch, platform::storeLayout(), m_settings,
               [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
               [this](time_point sentAt) { onConfirmed(sentAt); },
               [this](const rollout_order &order, auto done) {
@@ -305,6 +306,7 @@
     async_client m_upstreamClient;
     traffic_state m_trafficState;
     forwarder m_forwarder;
+    store_epoch m_storeEpoch;
     store_follower m_storeFollower;
     async_server m_clientServer;
     async_server m_readinessServer;
