Tests that fail when the store comes back from an older copy

Change: the stand-in of the store returns from a copy: revisions and lease identifiers are given out again, a watch from a revision that it does not have gets 410, and the era rises.

--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -617,6 +617,156 @@
     }));
 }
 
+/// The store comes back from an older copy.
+class restored_store_fixture : public feed_process_fixture
+{
+protected:
+    /// Lets the hosts read what was written before.
+    static void letHostsRead() { std::this_thread::sleep_for(milliseconds(1000)); }
+
+    std::string instanceRow(int standin, const std::string &state)
+    {
+        json_value row = json_value::object();
+        row.set("service", "plain");
+        row.set("address", endpointText(m_standins[standin]->address()));
+        row.set("zone", "z");
+        row.set("version", "v1");
+        row.set("slots", 8);
+        row.set("state", state);
+        row.set("seq", ++m_sequence);
+        return row.dump();
+    }
+
+    int m_sequence = 0;
+};
+
+TEST_F(restored_store_fixture, change_with_a_revision_given_out_before_is_applied_by_all_hosts)
+{
+    for (int round = 0; round < 2; ++round) {
+        const int version = 10 * (round + 1);
+        onLoop([&] { m_store.takeCopy(); });
+        onLoop([&] {
+            putConfig(version, {"/once/", "/lost/"});
+            for (int i = 0; i < 5; ++i)
+                m_store.put("servers/other", std::to_string(i));
+        });
+        letHostsRead();
+        // The hosts have no time to poll before the store reaches their revision again.
+        onLoop([&] {
+            m_store.restoreCopy();
+            putConfig(version, {"/once/", "/lost/"});
+            putConfig(version + 1, {"/once/", "/new/"});
+            for (int i = 0; i < 7; ++i)
+                m_store.put("servers/other", std::to_string(i));
+        });
+        letHostsRead();
+        for (int i = 0; i < 2; ++i) {
+            EXPECT_EQ(404, sendRequest(i, requestText("GET", "/lost/x", "l")).result_int()) << i;
+            EXPECT_TRUE(isServed(i, "/new/x")) << i;
+        }
+    }
+}
+
+TEST_F(restored_store_fixture, host_follows_changes_though_its_feed_source_has_read_the_copy)
+{
+    onLoop([&] { m_store.takeCopy(); });
+    onLoop([&] { putConfig(10, {"/once/", "/lost/"}); });
+    letHostsRead();
+    m_hosts[m_subscriber].process->signal(SIGSTOP);
+    onLoop([&] { m_store.restoreCopy(); });
+    letHostsRead();
+    m_hosts[m_subscriber].process->signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(300));
+    onLoop([&] { putConfig(11, {"/once/", "/new/"}); });
+    letHostsRead();
+    EXPECT_EQ(404, sendRequest(m_subscriber, requestText("GET", "/lost/x", "l")).result_int());
+    EXPECT_TRUE(isServed(m_subscriber, "/new/x"));
+}
+
+TEST_F(restored_store_fixture, hosts_keep_the_newest_configuration_they_have_had)
+{
+    onLoop([&] { m_store.takeCopy(); });
+    onLoop([&] { putConfig(10, {"/once/", "/new/"}); });
+    letHostsRead();
+    onLoop([&] { m_store.restoreCopy(); });
+    letHostsRead();
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_TRUE(isServed(i, "/new/x"));
+        EXPECT_EQ(404, sendRequest(i, requestText("GET", "/safe/x", "s")).result_int());
+    }
+}
+
+TEST_F(restored_store_fixture, registrations_of_hosts_are_written_again)
+{
+    onLoop([&] {
+        m_store.expireAllLeases();
+        m_store.takeCopy();
+    });
+    EXPECT_TRUE(eventually([&] {
+        return !storedValue("goldcrestdeck/hosts/h0").empty()
+            && !storedValue("goldcrestdeck/hosts/h1").empty();
+    }));
+    onLoop([&] { m_store.restoreCopy(); });
+    std::this_thread::sleep_for(milliseconds(2500));
+    for (const char *key : {"goldcrestdeck/hosts/h0", "goldcrestdeck/hosts/h1"})
+        EXPECT_FALSE(storedValue(key).empty()) << key;
+}
+
+TEST_F(restored_store_fixture, instance_that_registers_again_is_used_all_the_time)
+{
+    onLoop([&] {
+        m_store.remove("servers/p1");
+        m_store.takeCopy();
+        m_store.put("servers/p1", instanceRow(0, "ready"));
+    });
+    letHostsRead();
+    EXPECT_TRUE(isServed(0, "/safe/x"));
+    onLoop([&] { m_store.restoreCopy(); });
+    const auto end = std::chrono::steady_clock::now() + milliseconds(1500);
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        EXPECT_TRUE(isServed(i % 2, "/safe/x"));
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    onLoop([&] { m_store.put("servers/p1", instanceRow(0, "ready")); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    EXPECT_TRUE(isServed(0, "/safe/x"));
+    EXPECT_TRUE(isServed(1, "/safe/x"));
+}
+
+TEST_F(restored_store_fixture, instance_that_was_leaving_or_gone_gets_no_requests)
+{
+    onLoop([&] {
+        addInstance("plain", "p2", "v1");
+        addInstance("plain", "p3", "v1");
+        m_store.put("servers/p2", instanceRow(3, "ready"));
+        m_store.put("servers/p3", instanceRow(4, "ready"));
+        m_store.takeCopy();
+        m_store.put("servers/p2", instanceRow(3, "draining"));
+    });
+    letHostsRead();
+    onLoop([&] { m_store.remove("servers/p3"); });
+    letHostsRead();
+    const auto received = [&] {
+        return onLoop(
+            [&] { return m_standins[3]->requests().size() + m_standins[4]->requests().size(); });
+    };
+    const std::size_t before = received();
+    onLoop([&] { m_store.restoreCopy(); });
+    letHostsRead();
+    for (int i = 0; i < 100; ++i)
+        EXPECT_TRUE(isServed(i % 2, "/safe/x"));
+    EXPECT_EQ(before, received());
+    // Both are alive after all: their registrations go on.
+    onLoop([&] {
+        m_store.put("servers/p2", instanceRow(3, "ready"));
+        m_store.put("servers/p3", instanceRow(4, "ready"));
+    });
+    letHostsRead();
+    for (int i = 0; i < 100; ++i)
+        EXPECT_TRUE(isServed(i % 2, "/safe/x"));
+    EXPECT_LT(before, received());
+}
+
 TEST_F(router_process_fixture, removed_instance_receives_no_new_requests)
 {
     onLoop([&] { addInstance("plain", "p2", "v1"); });
@@ -730,6 +880,24 @@
         return json_value::parse(storedValue("status/rollout/engine")).string("state");
     }
 
+    /// Writes what the operator and the instances of v2 have written, as they do when the store has
+    /// lost it. Call on the event loop's thread.
+    void writeOrderAgain()
+    {
+        m_store.put("op/rollout/engine",
+                    R"({"service": "engine", "target": "v2", "duration-s": 8})");
+        for (int i : {3, 4}) {
+            json_value row = json_value::object();
+            row.set("service", "engine");
+            row.set("address", endpointText(m_standins[i]->address()));
+            row.set("zone", "z");
+            row.set("version", "v2");
+            row.set("slots", 8);
+            row.set("state", "ready");
+            m_store.put("servers/e" + std::to_string(i), row.dump());
+        }
+    }
+
     /// \returns the number of requests that reached the instances of v2.
     double candidateRequests()
     {
@@ -751,6 +919,40 @@
     EXPECT_EQ(before + 20, candidateRequests());
 }
 
+TEST_F(router_rollout_fixture, version_judged_bad_is_not_tried_again_when_the_store_is_restored)
+{
+    onLoop([&] { m_store.takeCopy(); });
+    ASSERT_EQ("rolled_back", runRollout(true));
+    const double before = candidateRequests();
+    onLoop([&] { m_store.restoreCopy(); });
+    std::this_thread::sleep_for(milliseconds(300));
+    onLoop([&] {
+        m_store.put("servers/other", "1"); // So that the order gets another revision.
+        writeOrderAgain();
+    });
+    for (int i = 0; i < 300; ++i) {
+        EXPECT_EQ(200, sendRequest(i % 2, streamRequest("after" + std::to_string(i))).result_int());
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_EQ(before, candidateRequests());
+    const std::string status = storedValue("status/rollout/engine");
+    ASSERT_FALSE(status.empty());
+    EXPECT_EQ("rolled_back", json_value::parse(status).string("state"));
+}
+
+TEST_F(router_rollout_fixture, rollout_continues_where_it_was_when_the_store_is_restored)
+{
+    onLoop([&] { m_store.takeCopy(); });
+    const auto restored = std::async(std::launch::async, [&] {
+        std::this_thread::sleep_for(milliseconds(5500));
+        onLoop([&] {
+            m_store.restoreCopy();
+            writeOrderAgain();
+        });
+    });
+    EXPECT_EQ("completed", runRollout(false));
+}
+
 TEST_F(router_rollout_fixture, rollout_of_a_failing_version_is_rolled_back_without_client_errors)
 {
     EXPECT_EQ("rolled_back", runRollout(true));
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -74,13 +74,24 @@
 
 void platform_store::put(const std::string &key, const std::string &value)
 {
-    m_items[key] = {value, ++m_revision, 0};
-    m_changes.push_back({key, value, m_revision, false});
+    m_contents.items[key] = {value, ++m_contents.revision, 0};
+    m_contents.changes.push_back({key, value, m_contents.revision, false});
+}
+
+void platform_store::takeCopy()
+{
+    m_copy = m_contents;
+}
+
+void platform_store::restoreCopy()
+{
+    m_contents = m_copy;
+    ++m_era;
 }
 
 void platform_store::expireAllLeases()
 {
-    for (auto &entry : m_leases)
+    for (auto &entry : m_contents.leases)
         entry.second.expiresAt = {};
     expireLeases();
 }
@@ -88,20 +99,20 @@
 void platform_store::expireLeases()
 {
     const auto now = std::chrono::steady_clock::now();
-    for (auto i = m_leases.begin(); i != m_leases.end();) {
+    for (auto i = m_contents.leases.begin(); i != m_contents.leases.end();) {
         if (i->second.expiresAt > now) {
             ++i;
             continue;
         }
         removeKeysOfLease(i->first);
-        i = m_leases.erase(i);
+        i = m_contents.leases.erase(i);
     }
 }
 
 void platform_store::removeKeysOfLease(std::uint64_t lease)
 {
     std::vector<std::string> keys;
-    for (const auto &entry : m_items) {
+    for (const auto &entry : m_contents.items) {
         if (entry.second.lease == lease)
             keys.push_back(entry.first);
     }
@@ -111,14 +122,14 @@
 
 void platform_store::remove(const std::string &key)
 {
-    if (m_items.erase(key) > 0)
-        m_changes.push_back({key, "", ++m_revision, true});
+    if (m_contents.items.erase(key) > 0)
+        m_contents.changes.push_back({key, "", ++m_contents.revision, true});
 }
 
 std::string platform_store::value(const std::string &key) const
 {
-    const auto found = m_items.find(key);
-    return found == m_items.end() ? std::string() : found->second.value;
+    const auto found = m_contents.items.find(key);
+    return found == m_contents.items.end() ? std::string() : found->second.value;
 }
 
 void platform_store::handle(const http1_request &request,
@@ -152,6 +163,7 @@
     if (m_faults.loseWrites && request.method() == boost::beast::http::verb::post)
         return;
     goldcrestdeck::http1_response message(boost::beast::http::int_to_status(result.status), 11);
+    message.set("Store-Era", std::to_string(m_era));
     message.body() = result.body;
     message.prepare_payload();
     const std::string bytes = goldcrestdeck::serializeHead(message.base()) + result.body;
@@ -165,7 +177,7 @@
     const std::string after = queryValue(query, "after");
     json_value items = json_value::array();
     bool hasMore = false;
-    for (const auto &entry : m_items) {
+    for (const auto &entry : m_contents.items) {
         if (entry.first.compare(0, prefix.size(), prefix) != 0 || entry.first <= after)
             continue;
         hasMore = items.size() == rangePageSize;
@@ -176,7 +188,7 @@
     json_value document = json_value::object();
     document.set("items", items);
     document.set("has-more", hasMore);
-    document.set("store-revision", m_revision);
+    document.set("store-revision", m_contents.revision);
     return {200, document.dump()};
 }
 
@@ -185,10 +197,10 @@
 {
     const std::string prefix = queryValue(query, "prefix");
     const std::uint64_t after = std::strtoull(queryValue(query, "after").c_str(), nullptr, 10);
-    if (after < m_compactedRevision)
+    if (after < m_contents.compactedRevision || after > m_contents.revision)
         return {410, "{}"};
     json_value events = json_value::array();
-    for (const change &recorded : m_changes) {
+    for (const change &recorded : m_contents.changes) {
         if (recorded.revision <= after || recorded.key.compare(0, prefix.size(), prefix) != 0)
             continue;
         if (!recorded.deleted) {
@@ -203,7 +215,7 @@
     }
     json_value document = json_value::object();
     document.set("events", events);
-    document.set("store-revision", m_revision);
+    document.set("store-revision", m_contents.revision);
     return {200, document.dump()};
 }
 
@@ -212,34 +224,34 @@
     const json_value document = json_value::parse(body);
     const json_value conditions = document.get("expected");
     for (std::size_t i = 0; i < conditions.size(); ++i) {
-        const auto found = m_items.find(conditions.at(i).string("key"));
-        const std::uint64_t current = found == m_items.end() ? 0 : found->second.revision;
+        const auto found = m_contents.items.find(conditions.at(i).string("key"));
+        const std::uint64_t current = found == m_contents.items.end() ? 0 : found->second.revision;
         if (current != conditions.at(i).integer("revision"))
             return {412, R"({"items":[]})"};
     }
     const json_value writes = document.get("set-keys");
     for (std::size_t i = 0; i < writes.size(); ++i) {
         const std::uint64_t lease = writes.at(i).integer("lease");
-        if (lease != 0 && m_leases.count(lease) == 0)
+        if (lease != 0 && m_contents.leases.count(lease) == 0)
             return {404, "{}"};
     }
-    ++m_revision;
+    ++m_contents.revision;
     for (std::size_t i = 0; i < writes.size(); ++i) {
         const std::string key = writes.at(i).string("key");
         const std::string value = platform::decodeBase64(writes.at(i).string("value"));
-        m_items[key] = {value, m_revision, writes.at(i).integer("lease")};
-        m_changes.push_back({key, value, m_revision, false});
+        m_contents.items[key] = {value, m_contents.revision, writes.at(i).integer("lease")};
+        m_contents.changes.push_back({key, value, m_contents.revision, false});
     }
     json_value result = json_value::object();
-    result.set("revision", m_revision);
+    result.set("revision", m_contents.revision);
     return {200, result.dump()};
 }
 
 platform_store::response platform_store::grantLease(const std::string &body)
 {
     const std::chrono::milliseconds lifetime(json_value::parse(body).integer("ttl-ms"));
-    const std::uint64_t leaseId = ++m_lastLease;
-    m_leases[leaseId] = {lifetime, std::chrono::steady_clock::now() + lifetime};
+    const std::uint64_t leaseId = ++m_contents.lastLease;
+    m_contents.leases[leaseId] = {lifetime, std::chrono::steady_clock::now() + lifetime};
     json_value document = json_value::object();
     document.set("lease", leaseId);
     document.set("ttl-ms", static_cast<std::uint64_t>(lifetime.count()));
@@ -248,9 +260,9 @@
 
 platform_store::response platform_store::renewLease(const std::string &target)
 {
-    const auto found
-        = m_leases.find(std::strtoull(target.c_str() + target.rfind('/') + 1, nullptr, 10));
-    if (found == m_leases.end())
+    const auto found = m_contents.leases.find(
+        std::strtoull(target.c_str() + target.rfind('/') + 1, nullptr, 10));
+    if (found == m_contents.leases.end())
         return {404, "{}"};
     found->second.expiresAt = std::chrono::steady_clock::now() + found->second.lifetime;
     return {200, "{}"};
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -38,7 +38,11 @@
     void expireAllLeases();
     /// Compacts the change feed up to the current revision: a watch from an earlier revision gets
     /// status 410.
-    void compact() { m_compactedRevision = m_revision; }
+    void compact() { m_contents.compactedRevision = m_contents.revision; }
+    /// Keeps a copy of all items and leases, from which restoreCopy() returns: later changes are
+    /// lost, and their revisions and lease identifiers are given out again.
+    void takeCopy();
+    void restoreCopy();
     void setFaults(const store_faults &faults) { m_faults = faults; }
     std::size_t requestCount() const { return m_requestCount; }
 
@@ -74,12 +78,19 @@
         std::chrono::steady_clock::time_point expiresAt;
     };
 
-    std::map<std::string, item> m_items;
-    std::map<std::uint64_t, lease> m_leases;
-    std::deque<change> m_changes;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_compactedRevision = 0;
-    std::uint64_t m_lastLease = 0;
+    /// What a copy holds.
+    struct contents {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, lease> leases;
+        std::deque<change> changes;
+        std::uint64_t revision = 1;
+        std::uint64_t compactedRevision = 0;
+        std::uint64_t lastLease = 0;
+    };
+
+    contents m_contents;
+    contents m_copy;
+    std::uint64_t m_era = 1;
     store_faults m_faults;
     std::size_t m_requestCount = 0;
     raw_server m_server;
