A ramp that begins late takes its own time

Cause: the share of a ramp, and the time of the full stage, followed the time since the order. A ramp that begins late, since writes of several hosts conflicted or the canary had few responses, went to all traffic within one poll, before one slow response of it could be judged. Class: a schedule that counts from the wrong event. Change: a record carries when its stage began. The ramp takes its whole length from there, the full stage at least half of its own; a version that is judged in that time is rolled back before it has all traffic. Test: traffic_state_fixture.ramp_that_begins_late_does_not_move_all_sessions_at_once (before, the share was 1 at 83% of the duration, whenever the ramp began).

--- a/goldcrestdeck/testing/traffic_state_test.cc
+++ b/goldcrestdeck/testing/traffic_state_test.cc
@@ -147,6 +147,26 @@
     EXPECT_EQ(version_side::candidate, m_state.choose(request, m_time.now())->side);
 }
 
+TEST_F(traffic_state_fixture, ramp_that_begins_late_does_not_move_all_sessions_at_once)
+{
+    auto view = std::make_shared<routing_view>(*m_state.view());
+    service_rollout &rollout = view->rollouts["engine"];
+    // The ramp should have begun after 54% of the 24 s; it begins after 83%.
+    rollout.record = {7, "v2", rollout_stage::ramp, milliseconds(20'000), milliseconds(20'000)};
+    rollout.seenAt = m_time.now();
+    m_state.setView(view);
+    int candidate = 0;
+    for (int i = 0; i < 500; ++i) {
+        const auto chosen = m_state.choose(requestOf("s" + std::to_string(i)), m_time.now());
+        candidate += chosen->side == version_side::candidate ? 1 : 0;
+    }
+    EXPECT_LE(candidate, 500 * settings().exposureShare);
+    advance(seconds(4));
+    for (int i = 0; i < 100; ++i)
+        EXPECT_EQ("v2",
+                  m_state.choose(requestOf("t" + std::to_string(i)), m_time.now())->target.version);
+}
+
 TEST_F(traffic_state_fixture, candidate_version_gets_no_requests_while_the_view_is_stale)
 {
     const std::string session = canarySession();
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -463,8 +463,10 @@
 version_side traffic_state::chooseVersion(const placement_request &request,
                                           const service_rollout &rollout, time_point now)
 {
-    const rollout_stage stage
-        = rollout.judgedBad ? rollout_stage::rolledBack : rollout.record.stage;
+    rollout_record record = rollout.record;
+    if (rollout.judgedBad)
+        record.stage = rollout_stage::rolledBack;
+    const rollout_stage stage = record.stage;
     session_history history;
     history.lastSide = lastSideOf(request, now);
     history.wasOnBaseline = rollout.baselineSessions
@@ -477,7 +479,7 @@
         && (stage != rollout_stage::canary || isWithinExposureBound);
     const rollout_parameters parameters = rolloutParameters(m_settings);
     const double share
-        = sessionShare(stage, rollout.elapsed(now), rollout.order.duration, parameters);
+        = sessionShare(record, rollout.elapsed(now), rollout.order.duration, parameters);
     const double position
         = sessionPosition(request.service, rollout.order.target, request.sessionKey);
     return chooseSide(stage, share, position, history, mayExpose);
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -75,8 +75,8 @@
 
 bool operator==(const rollout_record &a, const rollout_record &b)
 {
-    return std::tie(a.orderRevision, a.target, a.stage, a.elapsed)
-        == std::tie(b.orderRevision, b.target, b.stage, b.elapsed);
+    return std::tie(a.orderRevision, a.target, a.stage, a.elapsed, a.stageStart)
+        == std::tie(b.orderRevision, b.target, b.stage, b.elapsed, b.stageStart);
 }
 
 bool isFurther(const rollout_record &a, const rollout_record &b)
@@ -91,6 +91,7 @@
     document.set("target", record.target);
     document.set("stage", toString(record.stage));
     document.set("elapsed_ms", static_cast<std::uint64_t>(record.elapsed.count()));
+    document.set("stage_start_ms", static_cast<std::uint64_t>(record.stageStart.count()));
     return document.dump();
 }
 
@@ -100,7 +101,9 @@
     rollout_record record;
     record.orderRevision = document.integer("order");
     record.target = document.string("target");
-    record.elapsed = std::chrono::milliseconds(document.integer("elapsed_ms"));
+    const std::uint64_t elapsed = document.integer("elapsed_ms");
+    record.elapsed = std::chrono::milliseconds(elapsed);
+    record.stageStart = std::chrono::milliseconds(document.integer("stage_start_ms", elapsed));
     const std::string name = document.string("stage");
     const auto found = std::find_if(stages.begin(), stages.end(),
                                     [&](rollout_stage stage) { return name == toString(stage); });
@@ -122,19 +125,19 @@
     return result;
 }
 
-double sessionShare(rollout_stage stage, duration elapsed, duration orderDuration,
+double sessionShare(const rollout_record &record, duration elapsed, duration orderDuration,
                     const rollout_parameters &parameters)
 {
     const double canary = parameters.exposureShare * parameters.canaryFraction;
-    const double elapsedFraction = static_cast<double>(elapsed.count())
-        / std::max<double>(1, static_cast<double>(orderDuration.count()));
-    switch (stage) {
+    switch (record.stage) {
     case rollout_stage::canary:
         return elapsed < parameters.canaryDelay ? 0 : canary;
     case rollout_stage::ramp: {
-        const double rampProgress = (elapsedFraction - parameters.rampStartFraction)
-            / (parameters.fullStartFraction - parameters.rampStartFraction);
-        return std::clamp(canary + (1 - canary) * rampProgress, canary, 1.0);
+        const double rampLength = (parameters.fullStartFraction - parameters.rampStartFraction)
+            * std::max<double>(1, static_cast<double>(orderDuration.count()));
+        const double progress
+            = static_cast<double>((elapsed - record.stageStart).count()) / rampLength;
+        return std::clamp(canary + (1 - canary) * progress, canary, 1.0);
     }
     case rollout_stage::full:
     case rollout_stage::completed:
@@ -248,19 +251,27 @@
         = static_cast<double>(next.elapsed.count()) / orderDuration - writeDelay;
     const double recordAgeFraction
         = static_cast<double>(observation.recordAge.count()) / orderDuration - writeDelay;
+    const double stageFraction
+        = static_cast<double>((next.elapsed - current.stageStart).count()) / orderDuration
+        - writeDelay;
+    const double rampFraction = parameters.fullStartFraction - parameters.rampStartFraction;
+    const double minFullFraction
+        = (parameters.completionFraction - parameters.fullStartFraction) / 2;
     if (observation.instances == 0)
         return std::nullopt;
     if (current.stage == rollout_stage::canary && elapsedFraction >= parameters.rampStartFraction
         && observation.outcomes >= parameters.minOutcomes)
         next.stage = rollout_stage::ramp;
-    else if (current.stage == rollout_stage::ramp
-             && elapsedFraction >= parameters.fullStartFraction)
+    else if (current.stage == rollout_stage::ramp && stageFraction >= rampFraction)
         next.stage = rollout_stage::full;
     else if (current.stage == rollout_stage::full
-             && elapsedFraction >= parameters.completionFraction)
+             && elapsedFraction >= parameters.completionFraction
+             && stageFraction >= minFullFraction)
         next.stage = rollout_stage::completed;
     else if (recordAgeFraction < parameters.progressWriteFraction)
         return std::nullopt;
+    if (next.stage != current.stage)
+        next.stageStart = next.elapsed;
     return next;
 }
 
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -49,7 +49,8 @@
     std::uint64_t orderRevision = 0;
     std::string target;
     rollout_stage stage = rollout_stage::canary;
-    std::chrono::milliseconds elapsed{0}; ///< From the order to the writing of this record.
+    std::chrono::milliseconds elapsed{0};    ///< From the order to the writing of this record.
+    std::chrono::milliseconds stageStart{0}; ///< From the order to the beginning of the stage.
 };
 
 bool operator==(const rollout_record &a, const rollout_record &b);
@@ -78,7 +79,9 @@
     double slackFraction = 0.8;
     std::size_t hosts = 8;
     /// Fractions of the duration at which the ramp begins, all traffic moves, and the order is
-    /// completed. The ramp starts after the first half, in which sessions may not be moved.
+    /// completed. The ramp starts after the first half, in which sessions may not be moved. A stage
+    /// that begins late takes its time nevertheless, since its responses have yet to be judged: the
+    /// ramp all of it, the last one at least half.
     double rampStartFraction = 0.54;
     double fullStartFraction = 0.68;
     double completionFraction = 0.86;
@@ -94,8 +97,9 @@
 
 rollout_parameters rolloutParameters(const router_settings &settings);
 
-/// Share of the sessions that \a stage sends to the candidate, \a elapsed after the order.
-double sessionShare(rollout_stage stage, duration elapsed, duration orderDuration,
+/// Share of the sessions that the stage of \a record sends to the candidate, \a elapsed after the
+/// order.
+double sessionShare(const rollout_record &record, duration elapsed, duration orderDuration,
                     const rollout_parameters &parameters);
 
 /// Hashes a session of \a service to a position in [0, 1), for one target; the same on all hosts.
