A message between hosts without a body is refused

Cause: FlatBuffers' verifier accepts a message that names the type of its body and has none, and decodeMessage read it through a null pointer. Change: decodeMessage checks for the body once, for all types.

--- a/goldcrestdeck/peer_message.cc
+++ b/goldcrestdeck/peer_message.cc
@@ -275,6 +275,9 @@
     if (!wire::VerifyMessageBuffer(verifier))
         throw peer_error("malformed peer message");
     const wire::Message *message = wire::GetMessage(data);
+    // The verifier accepts a message that names the type of its body and has none.
+    if (message->body() == nullptr)
+        throw peer_error("peer message without a body");
     switch (message->body_type()) {
     case wire::Body_Ping:
         return {message->id(), readPing(message->body_as_Ping())};
--- a/goldcrestdeck/testing/codec_test.cc
+++ b/goldcrestdeck/testing/codec_test.cc
@@ -6,6 +6,7 @@
 
 #include "goldcrestdeck/digest.h"
 #include "goldcrestdeck/event_stream.h"
+#include "goldcrestdeck/generated/wire_generated.h"
 #include "goldcrestdeck/operator_client.h"
 #include "goldcrestdeck/peer_message.h"
 #include "goldcrestdeck/session_token.h"
@@ -47,6 +48,17 @@
     EXPECT_EQ(pong.grants.front().workspace, "w");
 }
 
+TEST(peer_message, message_without_a_body_is_refused)
+{
+    for (const auto type : {wire::Body_Ping, wire::Body_AskFeed, wire::Body_FeedNews}) {
+        flatbuffers::FlatBufferBuilder builder;
+        builder.Finish(wire::CreateMessage(builder, 1, type, 0));
+        EXPECT_THROW(decodeMessage({reinterpret_cast<const char *>(builder.GetBufferPointer()),
+                                    builder.GetSize()}),
+                     peer_error);
+    }
+}
+
 RC_GTEST_PROP(peer_message_fuzz, decode_of_damaged_bytes_succeeds_or_throws_peer_error,
               (std::vector<std::pair<std::uint16_t, std::uint8_t>> damage, std::uint16_t length))
 {
