--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -788,8 +788,8 @@
         }
     }
 
-    /// Mean Retry-After of a request that has not run. If the instances' limits allow this host to
-    /// send one sooner or later than usual, then at that time; other hosts have other shares.
+    /// Mean Retry-After of a request that has not run. If it is the instances' limits that leave no
+    /// place, the time until this host has one, within bounds: another host may have one earlier.
     std::chrono::milliseconds retryAfter() const
     {
         const auto next = m_state.nextSendAt(m_service, now());
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -175,10 +175,11 @@
 void store_follower::onFeedReply(const registered_host &host, const feed_reply &reply)
 {
     m_awaitingHost = false;
+    // A later epoch starts another poll at once.
     const std::uint64_t pollId = m_pollId;
     const bool isUsable = m_epoch.observe(reply.epoch) && reply.epoch == m_epoch.current();
     if (pollId != m_pollId)
-        return; // The other host knew of a later epoch; the next poll is under way.
+        return;
     if (!isUsable || reply.outcome != feed_outcome::available
         || reply.confirmedAt < m_lastContact) {
         // The reply is no newer than what this host knows, or there is none: polls the service at
@@ -673,16 +674,18 @@
         return;
     m_writingCrashReport = true;
     const crash_report report = *std::exchange(m_unwrittenCrashReport, std::nullopt);
-    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now()
-                                                                             - m_crashReportMadeAt);
-    crash_report aged = report;
-    for (crash_suspect &suspect : aged.suspects)
-        suspect.age += delay;
-    for (answered_segment &answered : aged.answered)
-        answered.age += delay;
-    const kv_item item{m_layout.internalPrefix + crashesPrefix + m_settings.name,
-                       encodeCrashReport(aged), 0};
-    writeExpiring(quarantine_parameters().lifetime, {item}, [this, report](kv_outcome outcome) {
+    const auto makeWrites = [this, report, madeAt = m_crashReportMadeAt] {
+        const auto delay
+            = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - madeAt);
+        crash_report aged = report;
+        for (crash_suspect &suspect : aged.suspects)
+            suspect.age += delay;
+        for (answered_segment &answered : aged.answered)
+            answered.age += delay;
+        return std::vector<kv_item>{{m_layout.internalPrefix + crashesPrefix + m_settings.name,
+                                     encodeCrashReport(aged), 0}};
+    };
+    writeExpiring(quarantine_parameters().lifetime, makeWrites, [this, report](kv_outcome outcome) {
         m_writingCrashReport = false;
         logEvent(log_level::info, "crash_report_written",
                  {{"suspects", std::to_string(report.suspects.size())},
@@ -694,17 +697,19 @@
     });
 }
 
-void store_follower::writeExpiring(std::chrono::milliseconds lifetime, std::vector<kv_item> writes,
+void store_follower::writeExpiring(std::chrono::milliseconds lifetime,
+                                   std::function<std::vector<kv_item>()> makeWrites,
                                    std::function<void(kv_outcome)> done)
 {
     m_store.grantLease(
-        lifetime, [this, writes = std::move(writes), done = std::move(done)](std::uint64_t lease) {
+        lifetime,
+        [this, makeWrites = std::move(makeWrites), done = std::move(done)](std::uint64_t lease) {
             if (lease == 0) {
                 done(kv_outcome::refused);
                 return;
             }
             kv_transaction transaction;
-            transaction.writes = writes;
+            transaction.writes = makeWrites();
             transaction.lease = lease;
             m_store.transact(transaction,
                              [done](const kv_transaction_result &result) { done(result.outcome); });
@@ -757,22 +762,26 @@
     if (reports.empty())
         return;
     m_writingRateLimits = true;
-    writeExpiring(rateLimitLifetime, writes, [this, reports](kv_outcome outcome) {
-        m_writingRateLimits = false;
-        logEvent(log_level::info, "instance_limits_written",
-                 {{"instances", std::to_string(reports.size())}, {"outcome", toString(outcome)}});
-        for (const rate_limit_report &report : reports) {
-            if (outcome == kv_outcome::done) {
-                m_ownRateLimits[report.incarnation] = report;
-                m_rateLimits[report.incarnation] = std::make_shared<const received_rate_limit>(
-                    received_rate_limit{report, m_clock.now()});
-            } else
-                // The next poll repeats the call, unless there is a newer report by then.
-                m_unwrittenRateLimits.emplace(report.incarnation, report);
-        }
-        if (outcome == kv_outcome::done)
-            writeRateLimits();
-    });
+    writeExpiring(
+        rateLimitLifetime, [writes] { return writes; },
+        [this, reports](kv_outcome outcome) {
+            m_writingRateLimits = false;
+            logEvent(
+                log_level::info, "instance_limits_written",
+                {{"instances", std::to_string(reports.size())}, {"outcome", toString(outcome)}});
+            for (const rate_limit_report &report : reports) {
+                if (outcome == kv_outcome::done) {
+                    m_ownRateLimits[report.incarnation] = report;
+                    m_rateLimits[report.incarnation] = std::make_shared<const received_rate_limit>(
+                        received_rate_limit{report, m_clock.now()});
+                } else {
+                    // The next poll repeats the call, unless there is a newer report by then.
+                    m_unwrittenRateLimits.emplace(report.incarnation, report);
+                }
+            }
+            if (outcome == kv_outcome::done)
+                writeRateLimits();
+        });
 }
 
 void store_follower::publish()
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -133,8 +133,10 @@
     void writeRateLimits();
     /// Whether the latest report of any host says the same.
     bool isKnown(const rate_limit_report &report) const;
-    /// Writes keys that expire after \a lifetime.
-    void writeExpiring(std::chrono::milliseconds lifetime, std::vector<kv_item> writes,
+    /// Writes keys that expire after \a lifetime. \a makeWrites is called once the service has
+    /// granted the lease.
+    void writeExpiring(std::chrono::milliseconds lifetime,
+                       std::function<std::vector<kv_item>()> makeWrites,
                        std::function<void(kv_outcome)> done);
     void advanceRollouts();
     void writeRecord(const record_write &write);
