A request that crashes instances stays refused when others with its topic are answered

Cause: only the segments that requests share were evidence. The topic of the request was quarantined, a sound request with it was answered, which clears a segment, and the client's next repetition, with a new id, was sent again. Class: a verdict on a proxy of the cause, lifted by evidence about the proxy. Change: the last segment of a prompt, which only a request, its repetitions and its session have, is evidence too, also between hosts. Where a shared segment that was never answered explains the same crashes, that one is taken, as before. Why it works: an answer to another request clears the topic, never the last segment of the one that crashes. Measured: repeated_request_stays_refused_* fails with last segments left out (run), all of segment_quarantine*, crash* and the process test pass, 5,000 cases.

--- a/goldcrestdeck/crash_report.cc
+++ b/goldcrestdeck/crash_report.cc
@@ -29,8 +29,8 @@
 
 bool operator==(const crash_suspect &a, const crash_suspect &b)
 {
-    return std::tie(a.instance, a.request, a.segments, a.age)
-        == std::tie(b.instance, b.request, b.segments, b.age);
+    return std::tie(a.instance, a.request, a.segments, a.age, a.lastSegment)
+        == std::tie(b.instance, b.request, b.segments, b.age, b.lastSegment);
 }
 
 bool operator==(const answered_segment &a, const answered_segment &b)
@@ -54,6 +54,7 @@
         row.set("instance", suspect.instance);
         row.set("request", suspect.request);
         row.set("segments", segments);
+        row.set("last_segment", suspect.lastSegment);
         setAge(row, suspect.age);
         suspects.append(row);
     }
@@ -82,7 +83,11 @@
         const json_value row = suspects.at(i);
         const json_value segments = row.get("segments");
         checkSize(segments, maxReportedSegments, "segments");
-        crash_suspect suspect{row.string("instance"), row.string("request"), {}, ageOf(row)};
+        crash_suspect suspect{row.string("instance"),
+                              row.string("request"),
+                              {},
+                              ageOf(row),
+                              row.string("last_segment", "")};
         for (std::size_t j = 0; j < segments.size(); ++j)
             suspect.segments.push_back(segments.at(j).asString());
         report.suspects.push_back(std::move(suspect));
--- a/goldcrestdeck/crash_report.h
+++ b/goldcrestdeck/crash_report.h
@@ -20,6 +20,9 @@
     std::string request;
     std::vector<std::string> segments; ///< Ids of the prompt segments that requests may share.
     std::chrono::milliseconds age{0};  ///< Time since the response was cut.
+    /// Id of the prompt's last segment, which only this request, its repetitions and its session
+    /// have; empty if unknown.
+    std::string lastSegment;
 };
 
 bool operator==(const crash_suspect &a, const crash_suspect &b);
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -319,7 +319,8 @@
     {
         const time_point time = now();
         if (!m_answered) {
-            if (const auto segment = m_state.quarantine().find(sharedSegments(), time)) {
+            if (const auto segment
+                = m_state.quarantine().find(sharedSegments(), lastSegment(), time)) {
                 refuseQuarantined(*segment);
                 return;
             }
@@ -607,7 +608,7 @@
         if (!m_bodyBegun) {
             m_bodyBegun = true;
             m_answered = true;
-            m_state.quarantine().recordAnswered(sharedSegments(), now());
+            m_state.quarantine().recordAnswered(sharedSegments(), lastSegment(), now());
             m_onCrashEvidence();
         }
         if (m_mode != response_mode::eventStream) {
@@ -864,6 +865,12 @@
         return ids;
     }
 
+    /// Id of the prompt segment that only this request, its repetitions and its session have.
+    std::string lastSegment() const
+    {
+        return m_request.promptSegments.empty() ? "" : m_request.promptSegments.back().id;
+    }
+
     std::string sharedSegmentIds() const { return boost::algorithm::join(sharedSegments(), ","); }
 
     void recordResponseBytes()
@@ -876,7 +883,8 @@
     void recordUnansweredSend()
     {
         m_state.quarantine().recordUnansweredSend(
-            {m_chosen.target.incarnation(), m_request.id, sharedSegments(), {}}, now());
+            {m_chosen.target.incarnation(), m_request.id, sharedSegments(), {}, lastSegment()},
+            now());
     }
 
     /// Adds the end of the current send to the evidence on crashes. \a failure is that of the
--- a/goldcrestdeck/segment_quarantine.cc
+++ b/goldcrestdeck/segment_quarantine.cc
@@ -57,9 +57,19 @@
     return result;
 }
 
+std::vector<std::string> segment_quarantine::suspect_request::allSegments() const
+{
+    std::vector<std::string> all = segments;
+    if (!lastSegment.empty())
+        all.push_back(lastSegment);
+    return all;
+}
+
 void segment_quarantine::addSuspect(const std::string &instance, suspect_request suspect)
 {
     std::vector<suspect_request> &suspects = m_evidence[instance].suspects;
+    if (suspect.lastSegment.size() > maxSegmentBytes)
+        suspect.lastSegment.clear();
     if (suspects.size() >= maxSuspectsPerInstance)
         suspects.erase(suspects.begin());
     suspects.push_back(std::move(suspect));
@@ -67,9 +77,11 @@
 
 void segment_quarantine::recordUnansweredSend(const crash_suspect &suspect, time_point now)
 {
-    if (suspect.segments.empty())
+    if (suspect.segments.empty() && suspect.lastSegment.empty())
         return;
-    addSuspect(suspect.instance, {suspect.request, boundedSegments(suspect.segments), now, true});
+    addSuspect(
+        suspect.instance,
+        {suspect.request, boundedSegments(suspect.segments), now, true, suspect.lastSegment});
     expire(now);
 }
 
@@ -139,14 +151,22 @@
         m_evidence.erase(found);
 }
 
-void segment_quarantine::recordAnswered(const std::vector<std::string> &segments, time_point now)
+void segment_quarantine::recordAnswered(const std::vector<std::string> &segments,
+                                        const std::string &lastSegment, time_point now)
 {
-    for (const std::string &segment : segments) {
-        if (segment.size() > maxSegmentBytes)
-            continue;
-        setAnswered(segment, now, true);
-        m_changed = m_changed || m_suspected.count(segment) > 0;
-    }
+    for (const std::string &segment : segments)
+        recordAnswer(segment, now);
+    // There is one for each request or session; only the suspected ones are worth remembering.
+    if (m_suspected.count(lastSegment) > 0)
+        recordAnswer(lastSegment, now);
+}
+
+void segment_quarantine::recordAnswer(const std::string &segment, time_point now)
+{
+    if (segment.size() > maxSegmentBytes)
+        return;
+    setAnswered(segment, now, true);
+    m_changed = m_changed || m_suspected.count(segment) > 0;
 }
 
 void segment_quarantine::setAnswered(const std::string &segment, time_point at, bool isOwn)
@@ -171,7 +191,7 @@
         if (!isKnown)
             addSuspect(suspect.instance,
                        {suspect.request, boundedSegments(suspect.segments), now - suspect.age,
-                        origin == report_origin::earlierProcess});
+                        origin == report_origin::earlierProcess, suspect.lastSegment});
         evidence.isCrashed = true;
     }
     for (const answered_segment &answered : report.answered) {
@@ -183,7 +203,8 @@
 }
 
 std::optional<quarantined_segment>
-segment_quarantine::find(const std::vector<std::string> &segments, time_point now)
+segment_quarantine::find(const std::vector<std::string> &segments, const std::string &lastSegment,
+                         time_point now)
 {
     update(now);
     if (m_quarantined.empty())
@@ -193,7 +214,10 @@
         if (found != m_quarantined.end())
             return found->second;
     }
-    return std::nullopt;
+    const auto found = m_quarantined.find(lastSegment);
+    if (found == m_quarantined.end())
+        return std::nullopt;
+    return found->second;
 }
 
 quarantine_changes segment_quarantine::takeChanges(time_point now)
@@ -223,8 +247,8 @@
             continue;
         for (const suspect_request &suspect : entry.second.suspects) {
             if (suspect.isOwn)
-                report.suspects.push_back(
-                    {entry.first, suspect.request, suspect.segments, ageAt(now, suspect.at)});
+                report.suspects.push_back({entry.first, suspect.request, suspect.segments,
+                                           ageAt(now, suspect.at), suspect.lastSegment});
         }
     }
     for (const auto &entry : m_ownAnswers)
@@ -286,14 +310,16 @@
         if (!entry.second.isCrashed || explainedInstances.count(entry.first) > 0)
             continue;
         for (const suspect_request &suspect : entry.second.suspects) {
-            for (std::size_t depth = 0; depth < suspect.segments.size(); ++depth) {
-                const std::string &segment = suspect.segments[depth];
+            const std::vector<std::string> segments = suspect.allSegments();
+            for (std::size_t depth = 0; depth < segments.size(); ++depth) {
+                const std::string &segment = segments[depth];
                 const time_point answered = answeredAt(segment);
                 if (answered >= suspect.at)
                     continue;
                 segment_evidence &evidence = result[segment];
                 evidence.answeredAt = answered;
                 evidence.depth = std::max(evidence.depth, depth);
+                evidence.isLast = evidence.isLast || segment == suspect.lastSegment;
                 evidence.latest = std::max(evidence.latest, suspect.at);
                 evidence.crashes += counted.emplace(segment, "i " + entry.first).second ? 1 : 0;
                 evidence.requests
@@ -312,7 +338,7 @@
             continue;
         std::set<std::string> counted;
         for (const suspect_request &suspect : entry.second.suspects) {
-            for (const std::string &segment : suspect.segments) {
+            for (const std::string &segment : suspect.allSegments()) {
                 suspected_segment &suspected = m_suspected[segment];
                 suspected.earliest = suspected.crashes == 0
                     ? suspect.at
@@ -359,14 +385,15 @@
             && evidence.requests >= m_parameters.minRequests;
     };
     while (!candidates.empty()) {
-        // Between segments that occur in the same crashes, one that was never answered, and then
-        // the one that fewer other requests share.
+        // Between segments that occur in the same crashes, one that was never answered, then one
+        // that other requests can share, since the last segments of all requests are suspects
+        // beside it, and then the one that fewer other requests share.
         const auto worst = std::max_element(
             candidates.begin(), candidates.end(), [&](const auto &a, const auto &b) {
                 return std::make_tuple(isSufficient(a.second), a.second.crashes,
-                                       b.second.answeredAt, a.second.depth)
+                                       b.second.answeredAt, b.second.isLast, a.second.depth)
                     < std::make_tuple(isSufficient(b.second), b.second.crashes, a.second.answeredAt,
-                                      b.second.depth);
+                                      a.second.isLast, b.second.depth);
             });
         if (!isSufficient(worst->second))
             break;
@@ -375,7 +402,8 @@
                                   worst->second.latest + m_parameters.lifetime};
         for (const auto &entry : m_evidence) {
             for (const suspect_request &suspect : entry.second.suspects) {
-                if (std::count(suspect.segments.begin(), suspect.segments.end(), segment) > 0)
+                const std::vector<std::string> segments = suspect.allSegments();
+                if (std::count(segments.begin(), segments.end(), segment) > 0)
                     explainedInstances.insert(entry.first);
             }
         }
--- a/goldcrestdeck/segment_quarantine.h
+++ b/goldcrestdeck/segment_quarantine.h
@@ -9,7 +9,8 @@
 /// before each send. Evidence against a segment are crashes of instances that had just begun to
 /// respond to a request with it. An instance that is heard of again has not crashed, and a segment
 /// that some instance has answered since is cleared. Evidence expires, so a segment is tried again
-/// some minutes after its last crash.
+/// some minutes after its last crash. The last segment of a prompt counts too: a client repeats its
+/// request, which may crash instances although all that others share with it is sound.
 ///
 /// Performs no I/O and reads no clock. Used by a single thread.
 
@@ -79,15 +80,17 @@
     void recordConnectionRefused(const std::string &instance, time_point now);
     /// Records that \a instance has sent bytes: it was alive shortly before.
     void recordResponseBytes(const std::string &instance, time_point now);
-    /// Records the first byte of the body of a response to a prompt with \a segments.
-    void recordAnswered(const std::vector<std::string> &segments, time_point now);
+    /// Records the first byte of the body of a response to a prompt with \a segments and then
+    /// \a lastSegment.
+    void recordAnswered(const std::vector<std::string> &segments, const std::string &lastSegment,
+                        time_point now);
 
     /// Adds a report received at \a now.
     void merge(const crash_report &report, report_origin origin, time_point now);
 
-    /// \returns the first of \a segments that is in quarantine.
+    /// \returns the first of \a segments and \a lastSegment that is in quarantine.
     std::optional<quarantined_segment> find(const std::vector<std::string> &segments,
-                                            time_point now);
+                                            const std::string &lastSegment, time_point now);
     /// Whether there is any evidence on an instance.
     bool hasEvidence() const { return !m_evidence.empty(); }
     std::size_t quarantinedCount() const { return m_quarantined.size(); }
@@ -101,9 +104,13 @@
 private:
     struct suspect_request {
         std::string request;
-        std::vector<std::string> segments;
+        std::vector<std::string> segments; ///< Those that other requests may share.
         time_point at;
         bool isOwn = false; ///< Observed by this host.
+        std::string lastSegment;
+
+        /// All segments in order, the last one included if it is known.
+        std::vector<std::string> allSegments() const;
     };
     /// Evidence on one incarnation.
     struct instance_evidence {
@@ -116,6 +123,7 @@
         std::size_t crashes = 0;
         std::size_t requests = 0;
         std::size_t depth = 0; ///< Greatest position in a prompt.
+        bool isLast = false;   ///< It is the last segment of a prompt.
         time_point answeredAt;
         time_point latest;
     };
@@ -128,6 +136,8 @@
         time_point earliest;
         time_point latest;
     };
+    void recordAnswer(const std::string &segment, time_point now);
+
     using quarantine_map = std::map<std::string, quarantined_segment>;
 
     void confirmCrash(const std::string &instance, time_point now);
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -480,7 +480,7 @@
             report.suspects.push_back({name, name, {"topic"}, {}});
         onLoop([&] {
             m_state.quarantine().merge(report, report_origin::otherHost, m_clock.now());
-            EXPECT_TRUE(m_state.quarantine().find({"topic"}, m_clock.now()));
+            EXPECT_TRUE(m_state.quarantine().find({"topic"}, "", m_clock.now()));
         });
     });
     const http1_response response
--- a/goldcrestdeck/testing/segment_quarantine_test.cc
+++ b/goldcrestdeck/testing/segment_quarantine_test.cc
@@ -18,18 +18,19 @@
 protected:
     /// An instance crashes when it begins to respond to the request.
     void crash(const std::string &instance, const std::string &request,
-               const std::vector<std::string> &segments)
+               const std::vector<std::string> &segments, const std::string &lastSegment = "")
     {
         m_time.advance(milliseconds(300));
         const time_point sentAt = m_time.now();
         m_time.advance(milliseconds(50));
-        m_quarantine.recordUnansweredSend({instance, request, segments, {}}, m_time.now());
+        m_quarantine.recordUnansweredSend({instance, request, segments, {}, lastSegment},
+                                          m_time.now());
         m_quarantine.recordConnectionLost(instance, sentAt, m_time.now());
     }
 
     bool isQuarantined(const std::string &segment)
     {
-        return m_quarantine.find({segment}, m_time.now()).has_value();
+        return m_quarantine.find({segment}, "", m_time.now()).has_value();
     }
 
     manual_clock m_time;
@@ -41,7 +42,7 @@
     crash("i1", "r1", {"common", "deadly"});
     crash("i2", "r1", {"common", "deadly"});
     EXPECT_FALSE(isQuarantined("deadly"));
-    m_quarantine.recordAnswered({"common", "sound"}, m_time.now());
+    m_quarantine.recordAnswered({"common", "sound"}, "", m_time.now());
     crash("i3", "r2", {"common", "deadly"});
     EXPECT_TRUE(isQuarantined("deadly"));
     EXPECT_FALSE(isQuarantined("common"));
@@ -52,6 +53,33 @@
     EXPECT_EQ(2U, changes.added[0].requests);
 }
 
+TEST_F(segment_quarantine_fixture,
+       repeated_request_stays_refused_when_others_with_its_topic_are_answered)
+{
+    crash("i1", "r1", {"common", "topic"}, "own");
+    crash("i2", "r1", {"common", "topic"}, "own");
+    // The client's repetition has an id of its own.
+    crash("i3", "r2", {"common", "topic"}, "own");
+    EXPECT_TRUE(m_quarantine.find({"common", "topic"}, "own", m_time.now()));
+    m_quarantine.recordAnswered({"common", "topic"}, "other", m_time.now());
+    EXPECT_FALSE(m_quarantine.find({"common", "topic"}, "other", m_time.now()));
+    const auto found = m_quarantine.find({"common", "topic"}, "own", m_time.now());
+    ASSERT_TRUE(found);
+    EXPECT_EQ("own", found->segment);
+}
+
+TEST_F(segment_quarantine_fixture,
+       shared_segment_is_quarantined_before_the_last_ones_of_its_requests)
+{
+    m_quarantine.recordAnswered({"common"}, "sound", m_time.now());
+    crash("i1", "r1", {"common", "deadly"}, "own");
+    crash("i2", "r1", {"common", "deadly"}, "own");
+    crash("i3", "r2", {"common", "deadly"}, "own");
+    const auto found = m_quarantine.find({"common", "deadly"}, "another", m_time.now());
+    ASSERT_TRUE(found);
+    EXPECT_EQ("deadly", found->segment);
+}
+
 TEST_F(segment_quarantine_fixture, single_request_is_no_evidence_against_its_segments)
 {
     for (const char *instance : {"i1", "i2", "i3", "i4"})
@@ -66,7 +94,7 @@
         crash("i" + std::to_string(i), "r" + std::to_string(i), {"common"});
     EXPECT_TRUE(isQuarantined("common"));
     m_time.advance(milliseconds(10));
-    m_quarantine.recordAnswered({"common"}, m_time.now());
+    m_quarantine.recordAnswered({"common"}, "", m_time.now());
     EXPECT_FALSE(isQuarantined("common"));
     EXPECT_EQ(std::vector<std::string>(), m_quarantine.takeChanges(m_time.now()).removed);
 }
@@ -77,7 +105,7 @@
     crash("i2", "r2", {"common", "topic", "deadly"});
     crash("i3", "r3", {"common", "other", "deadly"});
     crash("i4", "r4", {"common", "topic", "deadly"});
-    m_quarantine.recordAnswered({"common"}, m_time.now());
+    m_quarantine.recordAnswered({"common"}, "", m_time.now());
     EXPECT_TRUE(isQuarantined("deadly"));
     EXPECT_FALSE(isQuarantined("topic"));
     EXPECT_FALSE(isQuarantined("common"));
@@ -141,7 +169,7 @@
 {
     for (int i = 1; i <= 3; ++i)
         crash("i" + std::to_string(i), "r" + std::to_string(i), {"deadly"});
-    const auto found = m_quarantine.find({"deadly"}, m_time.now());
+    const auto found = m_quarantine.find({"deadly"}, "", m_time.now());
     ASSERT_TRUE(found);
     EXPECT_EQ(m_time.now() + quarantine_parameters().lifetime, found->until);
     m_time.advance(quarantine_parameters().lifetime + seconds(2));
@@ -160,12 +188,12 @@
     EXPECT_EQ(2U, report.suspects.size());
     other.merge(report, report_origin::otherHost, m_time.now());
     other.merge(report, report_origin::otherHost, m_time.now());
-    EXPECT_FALSE(other.find({"deadly"}, m_time.now()));
+    EXPECT_FALSE(other.find({"deadly"}, "", m_time.now()));
     const time_point sentAt = m_time.now();
     m_time.advance(milliseconds(20));
     other.recordUnansweredSend({"i3", "r3", {"common", "deadly"}, {}}, m_time.now());
     other.recordConnectionLost("i3", sentAt, m_time.now());
-    EXPECT_TRUE(other.find({"deadly"}, m_time.now()));
+    EXPECT_TRUE(other.find({"deadly"}, "", m_time.now()));
     // Reports of other hosts are not repeated, those of an earlier process are.
     EXPECT_EQ(1U, other.makeReport(m_time.now()).suspects.size());
     segment_quarantine restarted{quarantine_parameters()};
@@ -179,10 +207,10 @@
     for (int i = 1; i <= 3; ++i)
         crash("i" + std::to_string(i), "r" + std::to_string(i), {"common"});
     other.merge(m_quarantine.makeReport(m_time.now()), report_origin::otherHost, m_time.now());
-    EXPECT_TRUE(other.find({"common"}, m_time.now()));
+    EXPECT_TRUE(other.find({"common"}, "", m_time.now()));
     m_time.advance(milliseconds(100));
-    other.recordAnswered({"common"}, m_time.now()); // The end of a send that was under way.
-    EXPECT_FALSE(other.find({"common"}, m_time.now()));
+    other.recordAnswered({"common"}, "", m_time.now()); // The end of a send that was under way.
+    EXPECT_FALSE(other.find({"common"}, "", m_time.now()));
     ASSERT_TRUE(other.reportDueAt());
     const crash_report report = other.makeReport(m_time.now());
     ASSERT_EQ(1U, report.answered.size());
@@ -228,7 +256,7 @@
             segments.insert(segments.begin() + *rc::gen::inRange(0, 3), "deadly");
         const std::string request = "r" + std::to_string(step);
         const time_point sentAt = time.now();
-        if (host.find(segments, sentAt))
+        if (host.find(segments, "", sentAt))
             continue;
         time.advance(milliseconds(*rc::gen::inRange(1, 50)));
         const std::string instance = "i" + std::to_string(nextInstance);
@@ -239,7 +267,7 @@
             crashes.push_back({instance, request, segments, time.now()});
         } else {
             host.recordResponseBytes(instance, time.now());
-            host.recordAnswered(segments, time.now());
+            host.recordAnswered(segments, "", time.now());
             for (const std::string &segment : segments)
                 answered[segment] = time.now();
         }
@@ -260,7 +288,7 @@
         for (segment_quarantine &checked : fleet) {
             bool isAnyQuarantined = false;
             for (const auto &entry : instances) {
-                const bool isQuarantined = checked.find({entry.first}, time.now()).has_value();
+                const bool isQuarantined = checked.find({entry.first}, "", time.now()).has_value();
                 isAnyQuarantined = isAnyQuarantined || isQuarantined;
                 RC_ASSERT(!isQuarantined
                           || entry.second.size() >= quarantine_parameters().minCrashes);
