--- a/goldcrestdeck/instance_rate_limits.h
+++ b/goldcrestdeck/instance_rate_limits.h
@@ -10,10 +10,11 @@
 /// holds from the response that names it until a response to a later request does not; hosts tell
 /// each other both with rate_limit_report.
 ///
-/// The hosts divide a limit without talking: all of them rank the registered hosts alike for each
-/// instance, and a few that rank first get equal shares; the others send nothing. Each share may
-/// send one request at any time, so their number bounds the burst. With a limit of L per second, an
-/// instance gets at most L * t + L + 3 requests in t seconds from hosts that agree on the list.
+/// The hosts divide a limit without communicating: all of them rank the registered hosts alike for
+/// each instance, and a few that rank first get equal shares; the others send nothing. Each share
+/// may send one request at any time, so their number bounds the burst. With a limit of L per
+/// second, an instance gets at most L * t + L + 3 requests in t seconds from hosts that agree on
+/// the list.
 ///
 /// Hosts may disagree while hosts join, leave or cannot reach the store:
 /// - A host that is cut off keeps the share that the others still leave to it.
@@ -49,7 +50,7 @@
 
     /// Records what a response to a request sent at \a sentAt says: the requests per second that
     /// the instance accepts from all hosts together, or nullopt if it names no limit.
-    /// \returns whether this changes the limit of the instance by more than a trifle.
+    /// \returns whether this changes the limit of the instance by more than a tenth.
     bool recordResponse(const std::string &incarnation, std::optional<double> perSecond,
                         time_point sentAt, time_point now);
     /// Records what another host has heard, as received at \a receivedAt.
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -608,7 +608,7 @@
         m_fleetSize = std::max(m_fleetSize, m_hosts.size());
         return;
     }
-    // What the copy has of these is no newer than what this host has read before.
+    // This host has read newer values of these than the copy has.
     if (m_readingCopy && !startsWith(name, recordPrefix))
         return;
     if (startsWith(name, limitsPrefix)) {
