Log failed calls to the store, and the size and decoding time of configurations

Change: store_call_failed names the call, the failure, its duration and the bytes received; config_taken the size of the value and the time to decode it.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -540,6 +540,7 @@
 
 void store_follower::applyConfig(const kv_item &item)
 {
+    const time_point started = m_clock.now();
     const auto next = std::make_shared<const routing_config>(m_layout.decodeConfig(item.value));
     if (m_config && next->version() <= m_config->version()) {
         if (next->version() < m_config->version())
@@ -553,7 +554,12 @@
     logEvent(log_level::info, "config_taken",
              {{"version", std::to_string(next->version())},
               {"revision", std::to_string(item.revision)},
-              {"routes", std::to_string(next->routes().size())}});
+              {"routes", std::to_string(next->routes().size())},
+              {"bytes", std::to_string(item.value.size())},
+              {"decode_ms",
+               std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - started)
+                       .count())}});
 }
 
 void store_follower::applyInstance(const kv_item &item)
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -76,7 +76,7 @@
         , m_forwarder(forwarderDependencies())
         , m_storeFollower(
               m_controlLoop, m_clock,
-              platform::bindStore(m_storeClient, parseEndpoint(m_settings.storeAddress),
+              platform::bindStore(m_storeClient, m_clock, parseEndpoint(m_settings.storeAddress),
                                   m_storeEpoch),
               m_storeEpoch, platform::storeLayout(), m_settings,
               [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
