--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -39,11 +39,18 @@
     return out.str();
 }
 
+/// Time limits in the settings of the router processes.
+struct process_bounds {
+    milliseconds apply{800}; ///< For a new configuration, and for an instance that leaves.
+    milliseconds heartbeat{100'000};
+};
+
 class router_process_fixture : public ::testing::Test
 {
 protected:
-    router_process_fixture()
-        : m_store(m_io, loopback(0))
+    explicit router_process_fixture(process_bounds bounds = {})
+        : m_bounds(bounds)
+        , m_store(m_io, loopback(0))
         , m_workGuard(boost::asio::make_work_guard(m_io))
     {
         char name[] = "/tmp/goldcrest-router-XXXXXX";
@@ -123,10 +130,11 @@
                  "listen": {"front": "127.0.0.1:)"
              << ports[0] << R"(", "ready": "127.0.0.1:)" << ports[1] << R"("},
                  "internal-ports": [)"
-             << ports[2] << ", " << ports[3] << R"(], "heartbeat-ms": 100000,
-                 "bounds": {"config-apply-ms": 800, "drain-ms": 800, "grace-s": 8},
-                 "platform": {"address": ")"
-             << endpointText(m_store.address()) << "\"}}";
+             << ports[2] << ", " << ports[3] << R"(], "heartbeat-ms": )"
+             << m_bounds.heartbeat.count() << R"(, "bounds": {"config-apply-ms": )"
+             << m_bounds.apply.count() << R"(, "drain-ms": )" << m_bounds.apply.count()
+             << R"(, "grace-s": 8}, "platform": {"address": ")" << endpointText(m_store.address())
+             << "\"}}";
         file.close();
         host launched;
         launched.clientEndpoint = loopback(ports[0]);
@@ -188,6 +196,7 @@
         std::unique_ptr<child_process> process;
     };
 
+    const process_bounds m_bounds;
     boost::asio::io_context m_io{1};
     platform_store m_store;
     std::vector<std::unique_ptr<platform_instance>> m_standins;
@@ -617,6 +626,91 @@
     }));
 }
 
+/// Two hosts whose connections to the store are slow, so that a large configuration takes seconds
+/// to arrive. The instances send heartbeats.
+class slow_store_fixture : public router_process_fixture
+{
+protected:
+    slow_store_fixture()
+        : router_process_fixture({milliseconds(3000), milliseconds(1200)})
+        , m_heartbeatTimer(m_io)
+    {
+        onLoop([this] {
+            addInstance("plain", "p2", "v1");
+            addInstance("plain", "p3", "v1");
+            sendHeartbeats();
+        });
+    }
+    ~slow_store_fixture() override
+    {
+        onLoop([this] { m_heartbeatTimer.cancel(); });
+    }
+
+    /// Writes the entries of all instances that are registered once a second.
+    void sendHeartbeats()
+    {
+        for (const char *id : {"p1", "p2", "p3", "e1", "e2"}) {
+            const std::string entry = m_store.value(std::string("servers/") + id);
+            if (!entry.empty())
+                m_store.put(std::string("servers/") + id, entry);
+        }
+        m_heartbeatTimer.expires_after(milliseconds(1000));
+        m_heartbeatTimer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                sendHeartbeats();
+        });
+    }
+
+    /// Writes a configuration with \a routes further routes, whose transfer then takes \a seconds.
+    void putLargeConfig(int version, int routes, double seconds)
+    {
+        std::vector<std::string> prefixes{"/once/", "/safe/", "/new/"};
+        for (int i = 0; i < routes; ++i)
+            prefixes.push_back("/route-" + std::to_string(i) + "/");
+        onLoop([&] {
+            putConfig(version, prefixes);
+            standins::store_faults slow;
+            slow.bytesPerSecond = static_cast<std::size_t>(
+                static_cast<double>(m_store.value("op/config").size()) * base64Expansion / seconds);
+            m_store.setFaults(slow);
+        });
+    }
+
+    static constexpr double base64Expansion = 4.0 / 3;
+
+    boost::asio::steady_timer m_heartbeatTimer;
+};
+
+TEST_F(slow_store_fixture,
+       large_configuration_is_in_force_in_time_though_its_transfer_takes_a_second)
+{
+    putLargeConfig(5, 2000, 1.0);
+    // No request before this one: a request for an unknown route would make the hosts query the
+    // store.
+    std::this_thread::sleep_for(m_bounds.apply);
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(200, sendRequest(i, requestText("GET", "/route-1999/x", "a")).result_int()) << i;
+}
+
+TEST_F(slow_store_fixture, instances_that_leave_while_a_large_configuration_arrives_get_no_requests)
+{
+    putLargeConfig(5, 2000, 8.0);
+    // By now both hosts receive the configuration.
+    std::this_thread::sleep_for(milliseconds(2900));
+    onLoop([&] {
+        std::string entry = m_store.value("servers/p1");
+        m_store.put("servers/p1", entry.replace(entry.find("ready"), 5, "draining"));
+        m_store.remove("servers/p2");
+    });
+    std::this_thread::sleep_for(m_bounds.apply);
+    for (int i = 0; i < 30; ++i)
+        EXPECT_EQ(200,
+                  sendRequest(i % 2, requestText("GET", "/safe/x", "after" + std::to_string(i)))
+                      .result_int());
+    for (const std::size_t left : {0, 3})
+        EXPECT_TRUE(onLoop([&] { return m_standins[left]->executions().empty(); })) << left;
+}
+
 /// The store comes back from an older copy.
 class restored_store_fixture : public feed_process_fixture
 {
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -167,7 +167,12 @@
     message.body() = result.body;
     message.prepare_payload();
     const std::string bytes = goldcrestdeck::serializeHead(message.base()) + result.body;
-    connection->runAfter(m_faults.delay, [connection, bytes] { connection->write(bytes); });
+    connection->runAfter(m_faults.delay, [connection, bytes, rate = m_faults.bytesPerSecond] {
+        if (rate == 0)
+            connection->write(bytes);
+        else
+            connection->writePaced(bytes, rate);
+    });
 }
 
 platform_store::response
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -21,6 +21,7 @@
     bool busy = false;                  ///< Responds with 503 without executing the request.
     bool loseWrites = false;            ///< Executes POST requests but never responds.
     std::chrono::milliseconds delay{0}; ///< Before each response.
+    std::size_t bytesPerSecond = 0;     ///< Rate of each connection; 0 means no limit.
 };
 
 class platform_store
--- a/standins/raw_server.cc
+++ b/standins/raw_server.cc
@@ -1,5 +1,6 @@
 #include "standins/raw_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 16 * 1024;
+/// Between two pieces of a paced write.
+constexpr std::chrono::milliseconds pacingInterval{20};
 
 } // namespace
 
@@ -35,6 +38,17 @@
         writeNext();
 }
 
+void raw_connection::writePaced(const std::string &bytes, std::size_t bytesPerSecond)
+{
+    const std::size_t pieceBytes = std::max<std::size_t>(
+        1, bytesPerSecond * static_cast<std::size_t>(pacingInterval.count()) / 1000);
+    write(bytes.substr(0, pieceBytes));
+    if (bytes.size() > pieceBytes)
+        runAfter(pacingInterval, [this, rest = bytes.substr(pieceBytes), bytesPerSecond] {
+            writePaced(rest, bytesPerSecond);
+        });
+}
+
 void raw_connection::close()
 {
     m_closing = true;
--- a/standins/raw_server.h
+++ b/standins/raw_server.h
@@ -29,6 +29,8 @@
 
     void start();
     void write(const std::string &bytes);
+    /// Writes a little at a time, as over a slow link.
+    void writePaced(const std::string &bytes, std::size_t bytesPerSecond);
     /// Closes the connection once pending writes have been sent.
     void close();
     /// Aborts the connection with a TCP RST.
