Responses whose head arrives without any byte of the body are read

What callers saw: nothing reported yet; found while writing the tests of the stalled transfers. An instance whose head arrives in a packet of its own, with a Content-Length, would have given its client 502, or a retry. Cause: the parser's body limit was boost::none; Boost 1.74 compares the length with it as with a number, so that every length exceeds it. If body bytes follow in the same buffer, the parser goes on and forgets the error; if not, the call failed as malformed. Change: the largest number in place of boost::none. Looked for elsewhere: the server's parser has a real limit. Evidence: call_progress_fixture.response_whose_head_arrives_before_its_body_is_received returned "malformed" before, and passes.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -5,6 +5,7 @@
 #include "goldcrestdeck/async_client.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
@@ -160,7 +161,8 @@
     {
         m_parser = std::make_unique<parser>();
         m_parser->header_limit(maxResponseHeadBytes);
-        m_parser->body_limit(boost::none);
+        // Boost 1.74 takes any Content-Length to exceed a limit of boost::none.
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_parser->eager(true);
         if (m_isHeadRequest)
             m_parser->skip(true);
--- a/goldcrestdeck/testing/http_engine_test.cc
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -1,3 +1,4 @@
+#include "goldcrestdeck/async_client.h"
 #include "goldcrestdeck/testing/router_harness.h"
 
 namespace goldcrestdeck {
@@ -191,6 +192,67 @@
     EXPECT_TRUE(client.isClosedByServer());
 }
 
+/// A server sends a head and then a body of ten bytes, one byte each m_interval.
+class call_progress_fixture : public ::testing::Test
+{
+protected:
+    call_progress_fixture()
+        : m_server(m_io, {boost::asio::ip::make_address("127.0.0.1"), 0},
+                   [this](const http1_request &,
+                          const std::shared_ptr<standins::raw_connection> &connection) {
+                       connection->write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+                       sendByte(connection, 10);
+                   })
+        , m_client(m_io, m_clock)
+    { }
+
+    void sendByte(const std::shared_ptr<standins::raw_connection> &connection, int left)
+    {
+        if (left == 0)
+            return;
+        connection->runAfter(m_interval, [this, connection, left] {
+            connection->write("x");
+            sendByte(connection, left - 1);
+        });
+    }
+
+    /// \returns the bytes received if the call succeeds, otherwise the failure.
+    std::string call(milliseconds timeout)
+    {
+        std::string received;
+        std::string result;
+        response_observer observer;
+        observer.onHead = [](const http1_response_head &) {};
+        observer.onBody = [&](const std::string &piece) { received += piece; };
+        observer.onEnd = [&] {
+            result = received;
+            m_io.stop();
+        };
+        observer.onFailure = [&](call_failure failure) {
+            result = toString(failure);
+            m_io.stop();
+        };
+        call_options options;
+        options.timeout = timeout;
+        m_client.call(m_server.address(), "server",
+                      http1_request(boost::beast::http::verb::get, "/", 11), std::move(observer),
+                      options);
+        m_io.run();
+        return result;
+    }
+
+    milliseconds m_interval{60};
+    boost::asio::io_context m_io{1};
+    system_clock m_clock;
+    standins::raw_server m_server;
+    async_client m_client;
+};
+
+TEST_F(call_progress_fixture, response_whose_head_arrives_before_its_body_is_received)
+{
+    EXPECT_EQ("xxxxxxxxxx", call(milliseconds(0)));
+}
+
 TEST(connection_fields, fields_listed_in_connection_are_removed)
 {
     http_fields fields;
