Calls to the store time out when nothing arrives, not when the response is large

Cause: a call to the store was given 500 ms for the whole response. A body of 735 KB takes 600 ms at 10 Mbit/s; the host cut it off at 501 ms, tried again and never had it, nor any change behind it. Class: a fixed time limit on a transfer whose size grows. A request that waits for the configuration to be confirmed is refused after 1 s, as the longest two calls took before. Looked for elsewhere: messages between hosts are at most 64 KB; their time-out (1.2 s) sends the host to the store, as before; writes are small.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
@@ -33,6 +34,7 @@
 constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeadBytes;
 /// Keep-alive timeout assumed for a server that does not send one.
 constexpr std::chrono::milliseconds defaultKeepAliveTimeout{4000};
+constexpr std::chrono::milliseconds minTimerDelay{1};
 /// Limit on the idle connections to one server.
 constexpr std::size_t maxIdleConnections = 64;
 
@@ -84,9 +86,13 @@
               response_observer observer, call_options options)
     {
         prepare(callId, request, std::move(observer), std::move(options));
-        setTimer(m_options.timeout.count() > 0
-                     ? std::min(m_options.connectTimeout, m_options.timeout)
-                     : m_options.connectTimeout);
+        m_timer.set(m_options.timeout.count() > 0
+                        ? std::min(m_options.connectTimeout, m_options.timeout)
+                        : m_options.connectTimeout,
+                    [self = shared_from_this()] {
+                        if (self->m_busy)
+                            self->fail(call_failure::notSent);
+                    });
         m_socket.async_connect(server, [self = shared_from_this()](error_code error) {
             if (self->m_closed)
                 return;
@@ -171,20 +177,44 @@
         m_receivedBytes = false;
     }
 
-    void setTimer(duration delay)
+    /// Limits the time to the end of the call, and to the next byte if the call has a limit on
+    /// that.
+    void awaitProgress()
     {
-        m_timer.set(delay, [self = shared_from_this()] {
-            if (self->m_busy)
-                self->fail(self->m_startedWriting ? call_failure::timeout : call_failure::notSent);
-        });
+        const time_point now = m_clock.now();
+        std::optional<duration> delay;
+        if (m_options.timeout.count() > 0)
+            delay = m_options.timeout - (now - m_startTime);
+        if (m_options.stallTimeout.count() > 0) {
+            const duration untilStalled = m_options.stallTimeout - (now - m_progressTime);
+            delay = delay ? std::min(*delay, untilStalled) : untilStalled;
+        }
+        if (!delay)
+            return;
+        m_timer.set(std::max<duration>(*delay, minTimerDelay),
+                    [self = shared_from_this()] { self->checkProgress(); });
+    }
+
+    void checkProgress()
+    {
+        if (!m_busy)
+            return;
+        const time_point now = m_clock.now();
+        const bool outOfTime
+            = m_options.timeout.count() > 0 && now - m_startTime >= m_options.timeout;
+        const bool stalled
+            = m_options.stallTimeout.count() > 0 && now - m_progressTime >= m_options.stallTimeout;
+        if (outOfTime || stalled)
+            fail(call_failure::timeout);
+        else
+            awaitProgress();
     }
 
     void send()
     {
         m_timer.cancel();
-        if (m_options.timeout.count() > 0)
-            setTimer(std::max<duration>(m_options.timeout - (m_clock.now() - m_startTime),
-                                        std::chrono::milliseconds(1)));
+        m_progressTime = m_clock.now();
+        awaitProgress();
         m_startedWriting = true;
         asio::async_write(
             m_socket, asio::buffer(m_requestBytes),
@@ -231,6 +261,7 @@
             return;
         }
         m_receivedBytes = true;
+        m_progressTime = m_clock.now();
         m_buffer.commit(count);
         const auto self = shared_from_this();
         parse();
@@ -371,6 +402,7 @@
     std::string m_requestBytes;
     std::uint64_t m_callId = 0;
     time_point m_startTime;
+    time_point m_progressTime; ///< When the request was sent, or the last bytes arrived.
     time_point m_idleSince;
     std::chrono::milliseconds m_keepAliveTimeout = defaultKeepAliveTimeout;
     bool m_connected = false;
--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -27,7 +27,7 @@
     notSent,   ///< No byte of the request was written, so the server cannot have executed it.
     broken,    ///< The connection was lost after bytes of the request may have been written.
     malformed, ///< The server sent bytes that are not a valid HTTP response.
-    timeout    ///< The response was not complete before the deadline.
+    timeout    ///< The response was not complete before the deadline, or it stalled.
 };
 
 const char *toString(call_failure failure);
@@ -45,6 +45,9 @@
 
 struct call_options {
     std::chrono::milliseconds timeout{0}; ///< For the whole call; 0 means no limit.
+    /// Longest time in which no byte of the response arrives; 0 means no limit. It detects a lost
+    /// connection without limiting the size of the response.
+    std::chrono::milliseconds stallTimeout{0};
     std::chrono::milliseconds connectTimeout{300};
     /// An idle connection is reused only if it has been idle for less than this fraction of the
     /// server's keep-alive timeout; 0 forces a new connection.
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -28,6 +28,9 @@
 /// How long a request waits for the first configuration after start-up. Loading it takes some tens
 /// of milliseconds when the key-value service is available.
 constexpr std::chrono::milliseconds initialConfigTimeout{500};
+/// How long a request waits for the configuration to be confirmed. The key-value service may be
+/// sending a large one for longer.
+constexpr std::chrono::milliseconds confirmationTimeout{1000};
 /// Retry-After while this host has no confirmed configuration.
 constexpr std::chrono::milliseconds notReadyRetryAfter{1000};
 /// Retry-After while this host is draining; short, because clients retry on another host.
@@ -187,17 +190,26 @@
                 refuse(http::status::not_found, "no_route", std::nullopt);
             return;
         }
+        m_timer.set(confirmationTimeout,
+                    [self = shared_from_this()] { self->refuseUnconfirmed(); });
         m_dependencies.confirmConfiguration([self = shared_from_this()](bool storeConfirmed) {
             if (self->m_finished)
                 return;
+            self->m_timer.cancel();
             if (storeConfirmed)
                 self->resolveRoute(true);
             else
-                self->refuse(http::status::service_unavailable, "configuration_unconfirmed",
-                             notReadyRetryAfter);
+                self->refuseUnconfirmed();
         });
     }
 
+    void refuseUnconfirmed()
+    {
+        if (!m_finished)
+            refuse(http::status::service_unavailable, "configuration_unconfirmed",
+                   notReadyRetryAfter);
+    }
+
     void awaitConfig()
     {
         m_awaitingConfig = true;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -747,6 +747,15 @@
     EXPECT_FALSE(response[boost::beast::http::field::retry_after].empty());
 }
 
+TEST_F(forwarder_fixture, unknown_route_is_refused_when_its_confirmation_takes_too_long)
+{
+    onLoop([&] {
+        m_confirmEnds = false;
+        m_state.setConfirmedAt(m_clock.now() - std::chrono::seconds(5));
+    });
+    EXPECT_EQ(503, sendRequest(requestText("GET", "/none/x", "r1")).result_int());
+}
+
 TEST_F(forwarder_fixture, draining_host_refuses_only_requests_it_cannot_finish)
 {
     onLoop([&] {
--- a/goldcrestdeck/testing/http_engine_test.cc
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -217,7 +217,7 @@
     }
 
     /// \returns the bytes received if the call succeeds, otherwise the failure.
-    std::string call(milliseconds timeout)
+    std::string call(milliseconds timeout, milliseconds stallTimeout)
     {
         std::string received;
         std::string result;
@@ -234,6 +234,7 @@
         };
         call_options options;
         options.timeout = timeout;
+        options.stallTimeout = stallTimeout;
         m_client.call(m_server.address(), "server",
                       http1_request(boost::beast::http::verb::get, "/", 11), std::move(observer),
                       options);
@@ -250,7 +251,23 @@
 
 TEST_F(call_progress_fixture, response_whose_head_arrives_before_its_body_is_received)
 {
-    EXPECT_EQ("xxxxxxxxxx", call(milliseconds(0)));
+    EXPECT_EQ("xxxxxxxxxx", call(milliseconds(0), milliseconds(0)));
+}
+
+TEST_F(call_progress_fixture, response_that_takes_longer_than_the_stall_timeout_is_received)
+{
+    EXPECT_EQ("xxxxxxxxxx", call(milliseconds(0), milliseconds(300)));
+}
+
+TEST_F(call_progress_fixture, response_that_stalls_is_a_timeout)
+{
+    m_interval = milliseconds(600);
+    EXPECT_EQ("timeout", call(milliseconds(0), milliseconds(300)));
+}
+
+TEST_F(call_progress_fixture, response_that_trickles_is_a_timeout_once_the_call_takes_too_long)
+{
+    EXPECT_EQ("timeout", call(milliseconds(350), milliseconds(300)));
 }
 
 TEST(connection_fields, fields_listed_in_connection_are_removed)
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -150,7 +150,8 @@
             ++m_confirmCalls;
             if (m_onConfirm)
                 m_onConfirm();
-            asio::post(m_io, [this, done = std::move(done)] { done(m_confirmSucceeds); });
+            if (m_confirmEnds)
+                asio::post(m_io, [this, done = std::move(done)] { done(m_confirmSucceeds); });
         },
         [this](const request_outcome &outcome) { m_outcomes.push_back(outcome); },
         [](const crash_report &) {},
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -84,6 +84,7 @@
     routing_parts m_config;
     std::map<std::string, service_rollout> m_rollouts;
     bool m_confirmSucceeds = true; ///< Whether confirming the configuration succeeds.
+    bool m_confirmEnds = true;     ///< Whether it succeeds or fails at all.
     int m_confirmCalls = 0;
     std::vector<request_outcome> m_outcomes; ///< Reported; use on the event loop's thread only.
     std::vector<rate_limit_report> m_rateLimitReports; ///< Use on the event loop's thread only.
