Entries that go without a failed call to the store are gone, not expired in an outage

Cause: more than 2.4 s (two heartbeats) between the sends of two successful calls counted as an outage, after which instances whose entries are missing are kept for 2.2 s. A host that follows another one is regularly without contact for 2.7 s: a pause of 1.5 s and a wait of up to 1.2 s for the other host's reply. Class: a threshold for a failure that lies within the normal range. Change: an outage needs a failed call besides the time. A real one always brings one: a host whose source does not answer, or answers that it has no contact, asks the store itself. instance_gone logs which it is. Looked for elsewhere: departures heard ahead of the feed use the same sign; the time of silence after which everything is read again (2.4 s) counts from the arrival of any reply, so that a wait for another host does not reach it. Test: heartbeat_fixture.instance_that_is_gone_between_two_polls_* failed 3 of 3 before, passes 3 of 3.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -28,8 +28,8 @@
 constexpr std::chrono::milliseconds reconcilePeriod{6000};
 /// Time over which the hosts spread the renewal of their registrations.
 constexpr std::chrono::milliseconds registrationSpread{500};
-/// This many instance heartbeat intervals without contact count as an outage in which entries may
-/// have expired; they expire after three.
+/// After a failed call, this many instance heartbeat intervals without contact count as an outage
+/// in which entries may have expired; they expire after three.
 constexpr int outageHeartbeats = 2;
 /// Interval between polls of a host that serves the feed to others, as a fraction of the usual
 /// interval. With the time-out below, a host whose request fails still receives changes in time by
@@ -100,7 +100,6 @@
 void store_follower::start()
 {
     m_lastContact = m_clock.now();
-    m_lastHeard = m_lastContact;
     poll();
 }
 
@@ -291,15 +290,12 @@
 {
     if (changes.outcome == kv_outcome::done) {
         // Entries that expired in an outage say nothing of their instances.
-        const bool wasOutage
-            = m_clock.now() - m_lastHeard > outageHeartbeats * m_settings.heartbeatInterval;
+        const bool wasOutage = !m_reachable;
         for (const kv_change &change : changes.changes) {
             if (change.deleted ? !wasOutage : isDraining(change.item))
                 recordDeparture(change.item.key, change.item.revision);
         }
         m_departuresRevision = std::max(m_departuresRevision, changes.revision);
-        if (!wasOutage)
-            m_lastHeard = m_clock.now();
         if (m_dirty)
             publish();
     }
@@ -403,7 +399,7 @@
 
 void store_follower::onReadComplete(const full_read &read)
 {
-    onContact(read.sentAt, m_clock.now());
+    onContact(read.sentAt);
     std::vector<instance> instances;
     std::set<std::string> keys;
     m_feedCache.replaceAll(read.items, read.revision);
@@ -462,7 +458,7 @@
         onCallFailed(changes.outcome);
         return;
     }
-    onContact(sentAt, origin == feed_origin::host ? sentAt : m_clock.now());
+    onContact(sentAt);
     if (!changes.changes.empty())
         m_lastChange = m_clock.now();
     for (const kv_change &change : changes.changes) {
@@ -536,19 +532,21 @@
               {"hosts", std::to_string(m_hosts.size())}});
 }
 
-void store_follower::onContact(time_point sentAt, time_point heardAt)
+void store_follower::onContact(time_point sentAt)
 {
     const time_point now = m_clock.now();
+    // Without a failed call, a long time between two contacts is a slow reply or a pause of this
+    // host: the service was there, and entries that are gone were removed.
+    m_afterOutage
+        = !m_reachable && sentAt - m_lastContact > outageHeartbeats * m_settings.heartbeatInterval;
     if (!m_reachable) {
         m_reachable = true;
         logEvent(log_level::info, "store_regained",
                  {{"source", m_source.empty() ? "store" : m_source}});
     }
-    m_afterOutage = sentAt - m_lastHeard > outageHeartbeats * m_settings.heartbeatInterval;
     if (m_afterOutage)
         m_instances.startRejoinGracePeriod(now);
     m_lastContact = sentAt;
-    m_lastHeard = std::max(m_lastHeard, heardAt);
     m_onConfirmed(sentAt);
 }
 
@@ -642,7 +640,8 @@
         else
             m_instances.remove(id);
         m_dirty = true;
-        logEvent(log_level::info, "instance_gone", {{"instance", id}});
+        logEvent(log_level::info, "instance_gone",
+                 {{"instance", id}, {"after_outage", m_afterOutage ? "yes" : "no"}});
     } else if (startsWith(key, m_layout.orderPrefix)) {
         m_dirty = m_rollouts.dropOrder(key.substr(m_layout.orderPrefix.size())) || m_dirty;
     } else if (startsWith(key, m_layout.internalPrefix + hostsPrefix)) {
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -118,9 +118,7 @@
     /// Ends the time in which lost entries may be written again.
     void finishReconciliation();
     bool isReconciling() const { return m_reconcileUntil.has_value(); }
-    /// \a sentAt is when the call was sent, \a heardAt when the service is known to have been in
-    /// contact.
-    void onContact(time_point sentAt, time_point heardAt);
+    void onContact(time_point sentAt);
     void onCallFailed(kv_outcome outcome);
     void finishPoll(bool succeeded);
     /// Schedules pollDepartures() for as long as the poll in progress lasts.
@@ -207,7 +205,6 @@
     std::uint64_t m_revision = 0;
     time_point m_pollSentAt;
     time_point m_lastContact; ///< When the latest successful call to the service was sent.
-    time_point m_lastHeard;   ///< When the service is last known to have responded.
     time_point m_lastChange;  ///< Last arrival of a change, a host's reply or a full read.
     /// Of calls of confirm() that the poll in progress serves.
     std::vector<std::function<void(bool)>> m_confirmCallbacks;
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -626,13 +626,12 @@
     }));
 }
 
-/// Two hosts whose connections to the store are slow, so that a large configuration takes seconds
-/// to arrive. The instances send heartbeats.
-class slow_store_fixture : public router_process_fixture
+/// The instances send heartbeats, p1 to p3 of the service "plain" among them.
+class heartbeat_fixture : public router_process_fixture
 {
 protected:
-    slow_store_fixture()
-        : router_process_fixture({milliseconds(3000), milliseconds(1200)})
+    explicit heartbeat_fixture(milliseconds heartbeat = milliseconds(400))
+        : router_process_fixture({milliseconds(3000), heartbeat})
         , m_heartbeatTimer(m_io)
     {
         onLoop([this] {
@@ -643,12 +642,12 @@
         // The hosts hear of the added instances.
         std::this_thread::sleep_for(m_bounds.apply);
     }
-    ~slow_store_fixture() override
+    ~heartbeat_fixture() override
     {
         onLoop([this] { m_heartbeatTimer.cancel(); });
     }
 
-    /// Writes the entries of all instances that are registered once a second.
+    /// Writes the entries of all instances that are registered.
     void sendHeartbeats()
     {
         for (const char *id : {"p1", "p2", "p3", "e1", "e2"}) {
@@ -656,13 +655,51 @@
             if (!entry.empty())
                 m_store.put(std::string("servers/") + id, entry);
         }
-        m_heartbeatTimer.expires_after(milliseconds(1000));
+        m_heartbeatTimer.expires_after(m_bounds.heartbeat * 4 / 5);
         m_heartbeatTimer.async_wait([this](boost::system::error_code error) {
             if (!error)
                 sendHeartbeats();
         });
     }
 
+    /// p1 says that it leaves, p2 is gone without saying so.
+    void letTwoInstancesLeave()
+    {
+        onLoop([&] {
+            std::string entry = m_store.value("servers/p1");
+            m_store.put("servers/p1", entry.replace(entry.find("ready"), 5, "draining"));
+            m_store.remove("servers/p2");
+        });
+    }
+
+    void expectNoRequestsToInstancesThatLeft()
+    {
+        for (int i = 0; i < 30; ++i)
+            EXPECT_EQ(200,
+                      sendRequest(i % 2, requestText("GET", "/safe/x", "after" + std::to_string(i)))
+                          .result_int());
+        for (const std::size_t left : {0, 3})
+            EXPECT_TRUE(onLoop([&] { return m_standins[left]->executions().empty(); })) << left;
+    }
+
+    boost::asio::steady_timer m_heartbeatTimer;
+};
+
+TEST_F(heartbeat_fixture, instance_that_is_gone_between_two_polls_is_not_kept_as_after_an_outage)
+{
+    letTwoInstancesLeave();
+    std::this_thread::sleep_for(m_bounds.apply);
+    expectNoRequestsToInstancesThatLeft();
+}
+
+/// Connections to the store are slow, so that a large configuration takes seconds to arrive.
+class slow_store_fixture : public heartbeat_fixture
+{
+protected:
+    slow_store_fixture()
+        : heartbeat_fixture(milliseconds(1200))
+    { }
+
     /// Writes a configuration with \a routes further routes, whose transfer then takes \a seconds.
     void putLargeConfig(int version, int routes, double seconds)
     {
@@ -679,8 +716,6 @@
     }
 
     static constexpr double base64Expansion = 4.0 / 3;
-
-    boost::asio::steady_timer m_heartbeatTimer;
 };
 
 TEST_F(slow_store_fixture,
@@ -699,18 +734,9 @@
     putLargeConfig(5, 2000, 8.0);
     // By now both hosts receive the configuration.
     std::this_thread::sleep_for(milliseconds(2900));
-    onLoop([&] {
-        std::string entry = m_store.value("servers/p1");
-        m_store.put("servers/p1", entry.replace(entry.find("ready"), 5, "draining"));
-        m_store.remove("servers/p2");
-    });
+    letTwoInstancesLeave();
     std::this_thread::sleep_for(m_bounds.apply);
-    for (int i = 0; i < 30; ++i)
-        EXPECT_EQ(200,
-                  sendRequest(i % 2, requestText("GET", "/safe/x", "after" + std::to_string(i)))
-                      .result_int());
-    for (const std::size_t left : {0, 3})
-        EXPECT_TRUE(onLoop([&] { return m_standins[left]->executions().empty(); })) << left;
+    expectNoRequestsToInstancesThatLeft();
 }
 
 /// The store comes back from an older copy.
