A host is not left without a source while a dead one is backed off

Cause: a preferred host that did not reply is not asked for 5 s. Whether it had replied without news, so that no other would know more, was guessed from the time left: in the last 1.5 s of the 5 s the guess was wrong, the host asked the service and paused for a whole interval although another source was answering. Change: the reason is kept beside the time. Class: a state that is inferred from a number it happens to go with. Test: store_follower_fixture.host_that_follows_another_does_not_pause_* failed before (a gap of 999 ms, 500 allowed), passes.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -148,11 +148,11 @@
         return std::nullopt;
     const time_point now = m_clock.now();
     for (const registered_host &host : preferredFeedSources(m_self, m_hosts)) {
-        const auto backOff = m_hostBackOffUntil.find(host.name);
-        if (backOff == m_hostBackOffUntil.end() || backOff->second <= now)
+        const auto backOff = m_hostBackOffs.find(host.name);
+        if (backOff == m_hostBackOffs.end() || backOff->second.until <= now)
             return host;
-        // The host is alive but had no newer data; other hosts would not have any either.
-        if (backOff->second - now <= m_settings.pollInterval())
+        // Other hosts would not have anything newer either.
+        if (backOff->second.isAlive)
             return std::nullopt;
     }
     return std::nullopt;
@@ -193,8 +193,9 @@
         // The reply is no newer than what this host knows, or there is none: polls the service at
         // once.
         m_polling = false;
-        m_hostBackOffUntil[host.name] = m_clock.now()
-            + (reply.outcome == feed_outcome::timed_out ? hostBackOff : m_settings.pollInterval());
+        const bool isAlive = reply.outcome != feed_outcome::timed_out;
+        m_hostBackOffs[host.name]
+            = {m_clock.now() + (isAlive ? m_settings.pollInterval() : hostBackOff), isAlive};
         m_forceServicePoll = true;
         poll();
         return;
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -183,7 +183,12 @@
     /// The largest number of hosts known at once. It never decreases: registrations expire in an
     /// outage of the service while the hosts go on.
     std::size_t m_fleetSize = minFleetSize;
-    std::map<std::string, time_point> m_hostBackOffUntil; ///< Hosts not to poll for now, by name.
+    /// Why and until when a host is not polled.
+    struct host_back_off {
+        time_point until;
+        bool isAlive = false; ///< It replied, but had nothing newer.
+    };
+    std::map<std::string, host_back_off> m_hostBackOffs; ///< By name.
     std::string m_source; ///< The host last polled; empty: the service.
     /// Of the last request to a host; replies to earlier ones are ignored.
     std::uint64_t m_hostRequestId = 0;
--- /dev/null
+++ b/goldcrestdeck/testing/store_follower_test.cc
@@ -0,0 +1,153 @@
+// Tests of store_follower in one process: an in-memory service, and other hosts as feed links.
+
+#include "goldcrestdeck/store_follower.h"
+
+#include <gtest/gtest.h>
+
+#include "goldcrestdeck/testing/process_cluster.h"
+#include "platform/records.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A service that responds at once and counts the polls.
+class fake_kv_store
+{
+public:
+    async_kv_store functions()
+    {
+        async_kv_store store;
+        store.range = [this](const std::string &prefix, const std::string &,
+                             const std::function<void(kv_page)> &done) {
+            kv_page page;
+            page.outcome = kv_outcome::done;
+            page.revision = 1;
+            for (const kv_item &item : m_items) {
+                if (item.key.compare(0, prefix.size(), prefix) == 0)
+                    page.items.push_back(item);
+            }
+            done(page);
+        };
+        store.changes = [this](const std::string &, std::uint64_t after, milliseconds,
+                               const std::function<void(kv_changes)> &done) {
+            ++m_polls;
+            kv_changes changes;
+            changes.outcome = kv_outcome::done;
+            changes.revision = after;
+            done(changes);
+        };
+        store.transact = [](const kv_transaction &,
+                            const std::function<void(kv_transaction_result)> &done) { done({}); };
+        store.grantLease
+            = [](milliseconds, const std::function<void(std::uint64_t)> &done) { done(0); };
+        store.renewLease
+            = [](std::uint64_t, const std::function<void(kv_outcome)> &done) { done({}); };
+        return store;
+    }
+
+    std::vector<kv_item> m_items;
+    int m_polls = 0;
+};
+
+/// Another host that follows the service.
+struct other_host {
+    other_host(boost::asio::io_context &io, const clock &time, std::string hostAddress)
+        : address(std::move(hostAddress))
+        , link(io, time, address, cache, epoch)
+    {
+        cache.replaceAll({}, 1);
+        cache.setRevision(1);
+    }
+
+    std::string address;
+    store_epoch epoch;
+    feed_cache cache{10, [](const kv_item &, const kv_item &) { return false; }};
+    feed_link link;
+};
+
+class store_follower_fixture : public ::testing::Test
+{
+protected:
+    store_follower_fixture()
+    {
+        m_settings.name = "self";
+        m_settings.failureDomain = "z";
+        m_settings.peerAddress = newAddress();
+        m_settings.heartbeatInterval = std::chrono::minutes(10);
+        m_settings.configApplyTimeout = milliseconds(2000);
+        m_settings.drainPeriod = milliseconds(2000);
+    }
+
+    static std::string newAddress() { return "127.0.0.1:" + std::to_string(freePorts(1).front()); }
+
+    /// Registers a host that this one prefers to \a behind, or to all if that is empty.
+    void registerPreferredHost(const std::string &address, const std::string &behind = "")
+    {
+        const registered_host self{m_settings.name, m_settings.peerAddress, "z"};
+        for (int i = 0;; ++i) {
+            const std::string name = "h" + std::to_string(i);
+            auto hosts = m_hosts;
+            hosts[name] = {name, address, "z"};
+            const auto preferred = preferredFeedSources(self, hosts);
+            if (preferred.size() == hosts.size() && hosts.size() == m_hosts.size() + 1
+                && preferred[behind.empty() ? 0 : 1].name == name) {
+                m_hosts = hosts;
+                m_store.m_items.push_back({m_layout.internalPrefix + "hosts/" + name,
+                                           encodeRegisteredHost(hosts[name]), 1});
+                return;
+            }
+        }
+    }
+
+    void startFollower()
+    {
+        m_follower = std::make_unique<store_follower>(
+            m_io, m_clock, m_store.functions(), m_epoch, m_layout, m_settings,
+            [](const std::shared_ptr<const routing_view> &) {},
+            [this](time_point) { m_contacts.push_back(m_clock.now()); },
+            [](const rollout_order &, const std::function<void(std::vector<std::uint64_t>)> &) {});
+        m_follower->start();
+    }
+
+    /// \returns the longest time between two contacts with the service, also through other hosts.
+    duration longestGap() const
+    {
+        duration longest{0};
+        for (std::size_t i = 1; i < m_contacts.size(); ++i)
+            longest = std::max(longest, m_contacts[i] - m_contacts[i - 1]);
+        return longest;
+    }
+
+    router_settings m_settings;
+    store_layout m_layout = platform::storeLayout();
+    boost::asio::io_context m_io{1};
+    system_clock m_clock;
+    store_epoch m_epoch;
+    fake_kv_store m_store;
+    std::map<std::string, registered_host> m_hosts;
+    std::vector<time_point> m_contacts;
+    std::unique_ptr<store_follower> m_follower;
+};
+
+TEST_F(store_follower_fixture,
+       host_that_follows_another_does_not_pause_while_a_dead_one_is_backed_off)
+{
+    other_host alive(m_io, m_clock, newAddress());
+    registerPreferredHost(newAddress()); // Nothing listens there.
+    registerPreferredHost(alive.address, m_hosts.begin()->first);
+    one_shot_timer replies(m_io.get_executor());
+    const std::function<void()> replyOften = [&] {
+        alive.link.replyConfirmed(m_clock.now());
+        replies.set(milliseconds(100), replyOften);
+    };
+    replyOften();
+    startFollower();
+    m_io.run_for(std::chrono::seconds(7));
+    EXPECT_LT(longestGap(), m_settings.pollInterval() / 2);
+    EXPECT_GT(m_contacts.size(), 30U);
+}
+
+} // namespace
+} // namespace goldcrestdeck
