The first request of another host is answered within the pace of a host that serves others

Cause: a host that nobody has asked lately pauses for a whole interval (1.5 s); its first client gives up after 1.2 s, does not ask again for 5 s and polls the service, having heard of nothing for its own pause and that wait: 2.7 s. All hosts of a domain come back at the same time, when the 5 s are over. Change: a request that arrives in a pause shortens it to that of a host which serves others (0.6 of the interval). Test: store_follower_fixture.first_request_of_another_host_* failed before (timed out), passes.

--- a/goldcrestdeck/feed_link.cc
+++ b/goldcrestdeck/feed_link.cc
@@ -25,10 +25,12 @@
 } // namespace
 
 feed_link::feed_link(boost::asio::io_context &io, const clock &time, const std::string &address,
-                     const feed_cache &cache, store_epoch &epoch)
+                     const feed_cache &cache, store_epoch &epoch,
+                     std::function<void()> requestListener)
     : m_time(time)
     , m_feedCache(cache)
     , m_epoch(epoch)
+    , m_requestListener(std::move(requestListener))
     , m_peers(io, address, [this](const peer_body &request, const peer_link::reply_sender &reply) {
         onRequest(request, reply);
     })
@@ -98,6 +100,7 @@
     }
     m_lastRequestAt = m_time.now();
     m_pending.push_back({feedRequest->after, feedRequest->epoch, *m_lastRequestAt, reply});
+    m_requestListener();
 }
 
 feed_update_message feed_link::unavailable() const
--- a/goldcrestdeck/feed_link.h
+++ b/goldcrestdeck/feed_link.h
@@ -40,9 +40,10 @@
 class feed_link
 {
 public:
-    /// Listens on \a address. \throws peer_error
+    /// Listens on \a address. \a requestListener is called when another host waits for a reply.
+    /// \throws peer_error
     feed_link(boost::asio::io_context &io, const clock &time, const std::string &address,
-              const feed_cache &cache, store_epoch &epoch);
+              const feed_cache &cache, store_epoch &epoch, std::function<void()> requestListener);
 
     /// Requests the changes after revision \a after from the host at \a address. \a done is called
     /// with the reply, or with timed_out after \a timeout.
@@ -78,6 +79,7 @@
     const clock &m_time;
     const feed_cache &m_feedCache;
     store_epoch &m_epoch;
+    std::function<void()> m_requestListener;
     std::vector<pending_request> m_pending;
     std::optional<time_point> m_lastRequestAt;
     bool m_draining = false;
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -87,7 +87,7 @@
     , m_feedCache(
           maxDeletions,
           [this](const kv_item &known, const kv_item &next) { return isEquivalent(known, next); })
-    , m_link(io, time, settings.peerAddress, m_feedCache, epoch)
+    , m_link(io, time, settings.peerAddress, m_feedCache, epoch, [this] { onFeedRequest(); })
     , m_registration(io.get_executor(), m_store,
                      m_layout.internalPrefix + hostsPrefix + settings.name,
                      encodeRegisteredHost(m_self))
@@ -597,6 +597,11 @@
         poll();
         return;
     }
+    scheduleNextPoll();
+}
+
+void store_follower::scheduleNextPoll()
+{
     const auto interval = m_settings.pollInterval();
     const duration pause = m_link.hasRecentRequests(2 * interval)
         ? std::chrono::duration_cast<duration>(servingPollFraction * interval)
@@ -607,6 +612,13 @@
         std::max<duration>(remaining, minPause)));
 }
 
+void store_follower::onFeedRequest()
+{
+    // The pause was that of a host which serves no others. After a failure, a retry is due soon.
+    if (!m_polling && m_reachable)
+        scheduleNextPoll();
+}
+
 void store_follower::apply(const kv_item &item)
 {
     try {
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -106,6 +106,10 @@
     void onFeedReply(const registered_host &host, const feed_reply &reply);
     /// Returns the host to poll for changes, or nullopt if this host is to poll the service itself.
     std::optional<registered_host> feedSource();
+    /// Another host waits for a reply to its request for changes.
+    void onFeedRequest();
+    /// Schedules the next poll after a successful one.
+    void scheduleNextPoll();
     void updateSource(const std::string &name);
     bool isEquivalent(const kv_item &known, const kv_item &next) const;
     void readAll();
--- a/goldcrestdeck/testing/store_follower_test.cc
+++ b/goldcrestdeck/testing/store_follower_test.cc
@@ -55,7 +55,7 @@
 struct other_host {
     other_host(boost::asio::io_context &io, const clock &time, std::string hostAddress)
         : address(std::move(hostAddress))
-        , link(io, time, address, cache, epoch)
+        , link(io, time, address, cache, epoch, [] {})
     {
         cache.replaceAll({}, 1);
         cache.setRevision(1);
@@ -149,5 +149,27 @@
     EXPECT_GT(m_contacts.size(), 30U);
 }
 
+TEST_F(store_follower_fixture, first_request_of_another_host_is_answered_before_it_times_out)
+{
+    startFollower();
+    other_host client(m_io, m_clock, newAddress());
+    feed_outcome outcome = feed_outcome::unavailable;
+    bool done = false;
+    one_shot_timer request(m_io.get_executor());
+    // Just after a poll of the follower, which pauses for a whole interval since nobody asked it.
+    request.set(m_settings.pollInterval() + milliseconds(50), [&] {
+        client.link.requestChanges(
+            m_settings.peerAddress, 1,
+            std::chrono::duration_cast<milliseconds>(0.8 * m_settings.pollInterval()),
+            [&](const feed_reply &reply) {
+                outcome = reply.outcome;
+                done = true;
+            });
+    });
+    m_io.run_for(2 * m_settings.pollInterval() + milliseconds(500));
+    EXPECT_TRUE(done);
+    EXPECT_EQ(feed_outcome::available, outcome);
+}
+
 } // namespace
 } // namespace goldcrestdeck
