--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -6,10 +6,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <xxhash.h>
 
 #include "goldcrestdeck/endpoint.h"
 #include "goldcrestdeck/errors.h"
@@ -863,6 +865,7 @@
                       {"outcome", outcome},
                       {"response_begun", m_responseBegun ? "yes" : "no"},
                       {"shared_segments", sharedSegmentIds()},
+                      {"request_digest", requestDigest()},
                       {"framing", framing()},
                       {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
                       {"ms", formatMilliseconds(now() - m_sentAt)}});
@@ -883,6 +886,23 @@
         return m_request.promptSegments.empty() ? "" : m_request.promptSegments.back().id;
     }
 
+    /// Digest of what the repetitions of a request by its client have in common. Empty if it has a
+    /// prompt: the last segment tells more.
+    const std::string &requestDigest() const
+    {
+        if (m_requestDigest.empty() && m_request.promptSegments.empty()) {
+            const http1_request &message = m_request.message;
+            std::string content;
+            for (const std::string &part : {std::string(message.method_string()), m_request.host,
+                                            m_request.path, m_request.key, message.body()})
+                content += std::to_string(part.size()) + ' ' + part;
+            std::ostringstream digest;
+            digest << "request-" << std::hex << XXH3_64bits(content.data(), content.size());
+            m_requestDigest = digest.str();
+        }
+        return m_requestDigest;
+    }
+
     std::string sharedSegmentIds() const { return boost::algorithm::join(sharedSegments(), ","); }
 
     void recordResponseBytes()
@@ -1027,6 +1047,7 @@
     bool m_awaitingConfig = false;
     bool m_sending = false;
     bool m_responseBegun = false;
+    mutable std::string m_requestDigest; ///< See requestDigest(); empty until it is asked for.
     bool m_bodyBegun = false;       ///< A byte of the current send's response body has arrived.
     bool m_answered = false;        ///< A byte of some response body has arrived.
     bool m_slow = false;            ///< The candidate responds much more slowly than the baseline.
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -408,6 +408,73 @@
     EXPECT_TRUE(onLoop([&] { return m_outcomes.size() == 1 && !m_outcomes[0].slow; }));
 }
 
+/// Ten instances of each service that crash on any request with the text "deadly", before a byte of
+/// the response.
+class crashing_request_fixture : public forwarder_fixture
+{
+protected:
+    crashing_request_fixture()
+    {
+        for (int i = 3; i <= 10; ++i) {
+            addInstance("plain", "plain-" + std::to_string(i));
+            addInstance("engine", "engine-" + std::to_string(i));
+        }
+        publish();
+        instance_faults faults;
+        faults.delay = milliseconds(30);
+        faults.crashText = "deadly";
+        setFaults(faults);
+    }
+
+    int crashedInstances()
+    {
+        return onLoop([&] {
+            int count = 0;
+            for (const auto &standin : m_standins)
+                count += standin->hasCrashed() ? 1 : 0;
+            return count;
+        });
+    }
+
+    /// Sends the request made by \a makeRequest from its id eight times, a sound one after each,
+    /// and expects that it is refused before the fifth crash.
+    void
+    expectRefusedWhenRepeated(const std::function<std::string(const std::string &)> &makeRequest)
+    {
+        for (int i = 0; i < 8; ++i) {
+            sendRequest(makeRequest("d" + std::to_string(i)));
+            const std::string sound = requestText("GET", "/safe/x", "s" + std::to_string(i));
+            EXPECT_EQ(200U, sendRequest(sound).result_int());
+            std::this_thread::sleep_for(milliseconds(120));
+        }
+        EXPECT_LE(crashedInstances(), 4);
+        EXPECT_EQ(503U, sendRequest(makeRequest("last")).result_int());
+        EXPECT_EQ(0, executionsOf("last"));
+    }
+};
+
+TEST_F(crashing_request_fixture, idempotent_request_without_a_prompt_is_refused_when_it_comes_again)
+{
+    expectRefusedWhenRepeated(
+        [](const std::string &id) { return requestText("GET", "/safe/deadly", id); });
+}
+
+TEST_F(crashing_request_fixture, at_most_once_request_is_refused_when_it_comes_again)
+{
+    expectRefusedWhenRepeated([](const std::string &id) {
+        return requestText("POST", "/once/x", id, "", R"({"text": "deadly"})");
+    });
+    EXPECT_EQ(200U, sendRequest(requestText("POST", "/once/x", "other", "", "{}")).result_int());
+}
+
+TEST_F(crashing_request_fixture, stream_whose_instances_crash_before_the_head_is_refused)
+{
+    expectRefusedWhenRepeated([](const std::string &id) {
+        return requestText("POST", "/stream/x", id,
+                           "X-Model: m\r\nX-Prompt-Prefix: common:40,own:10\r\n", "deadly");
+    });
+}
+
 /// Ten instances of the service "engine" that crash on any prompt with the segment "deadly".
 class crashing_segment_fixture : public forwarder_fixture
 {
--- a/goldcrestdeck/testing/segment_quarantine_test.cc
+++ b/goldcrestdeck/testing/segment_quarantine_test.cc
@@ -80,6 +80,25 @@
     EXPECT_EQ("deadly", found->segment);
 }
 
+TEST_F(segment_quarantine_fixture, requests_cut_beside_a_deadly_one_are_not_quarantined)
+{
+    for (int i = 0; i < 6; ++i) {
+        const std::string instance = "i" + std::to_string(i);
+        // All are cut at the same time; a client repeats the same sound request each time.
+        const std::vector<std::string> cut{"deadly", "repeated", "other" + std::to_string(i)};
+        m_time.advance(milliseconds(300));
+        for (const std::string &digest : cut)
+            m_quarantine.recordUnansweredSend(
+                {instance, digest + std::to_string(i), {}, {}, digest}, m_time.now());
+        m_quarantine.recordConnectionLost(instance, m_time.now() - milliseconds(50), m_time.now());
+        if (i == 0)
+            m_quarantine.recordAnswered({}, "repeated", m_time.now());
+    }
+    EXPECT_TRUE(m_quarantine.find({}, "deadly", m_time.now()));
+    EXPECT_FALSE(m_quarantine.find({}, "repeated", m_time.now()));
+    EXPECT_FALSE(m_quarantine.find({}, "other0", m_time.now()));
+}
+
 TEST_F(segment_quarantine_fixture, single_request_is_no_evidence_against_its_segments)
 {
     for (const char *instance : {"i1", "i2", "i3", "i4"})
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -103,6 +103,12 @@
                                 const instance_faults &faults)
 {
     const std::string id(request["X-Request-Id"]);
+    const std::string content = std::string(request.target()) + '\n' + request.body();
+    if (!faults.crashText.empty() && content.find(faults.crashText) != std::string::npos) {
+        m_hasCrashed = true;
+        m_server.crash();
+        return;
+    }
     std::string fields = limitField(faults);
     if (!faults.omitSeal)
         fields += "X-Response-Seal: seal-" + m_id + "-" + id + "\r\n";
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -39,9 +39,12 @@
     bool endlessBody = false;      ///< Sends a body without framing until the connection is closed.
     bool endlessChunkSize = false; ///< Sends a chunk extension until the connection is closed.
     std::string
-        crashSegment;      ///< Crashes when it begins the response to a prompt with this segment.
-    std::string rateLimit; ///< Named as Server-Limit in each response; empty: none.
-    bool garbage = false;  ///< Sends bytes that are not HTTP.
+        crashSegment; ///< Crashes when it begins the response to a prompt with this segment.
+    /// Crashes when it has executed a request with this text in its path or body, without a byte
+    /// of a response.
+    std::string crashText;
+    std::string rateLimit;      ///< Named as Server-Limit in each response; empty: none.
+    bool garbage = false;       ///< Sends bytes that are not HTTP.
     bool earlyResponse = false; ///< Responds before the body is read; for long bodies.
 };
 
