A request without a prompt that crashes instances is refused when it comes again

All other requests of the service failed for seconds each time. Cause: the evidence on crashes knew only prompt segments, and only sends whose response had begun. A request to a plain service has no prompt, and its instance crashes before the head. Class: a defence tied to the representation of one kind of request. Change: a request without a prompt counts with its digest (method, host, path, key, body) where others have the last segment of their prompt. A send that breaks before the head is a suspect too, with that alone: an instance may only have queued it, and what queued requests share is common. Answers clear it, also those without a body. It is refused with 503, not run (request_quarantined), on all hosts, through the reports that exist. What a deadly request explains does not count against those that were cut beside it, as before. Looked for elsewhere: streams whose instances crash before the head, and at-most-once requests, had the same gap; tested.

--- a/goldcrestdeck/crash_report.h
+++ b/goldcrestdeck/crash_report.h
@@ -13,15 +13,16 @@
 
 namespace goldcrestdeck {
 
-/// A request to which an instance had begun to respond when it crashed, before the first byte of
-/// the body.
+/// A request that an instance was executing when it crashed, before the first byte of the body.
 struct crash_suspect {
     std::string instance; ///< Incarnation that crashed.
     std::string request;
-    std::vector<std::string> segments; ///< Ids of the prompt segments that requests may share.
-    std::chrono::milliseconds age{0};  ///< Time since the response was cut.
+    /// Ids of the prompt segments that requests may share; empty if the instance had not begun to
+    /// respond.
+    std::vector<std::string> segments;
+    std::chrono::milliseconds age{0}; ///< Time since the response was cut.
     /// Id of the prompt's last segment, which only this request, its repetitions and its session
-    /// have; empty if unknown.
+    /// have, or the digest of a request without a prompt; empty if unknown.
     std::string lastSegment;
 };
 
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -334,7 +334,7 @@
         const time_point time = now();
         if (!m_answered) {
             if (const auto segment
-                = m_state.quarantine().find(sharedSegments(), lastSegment(), time)) {
+                = m_state.quarantine().find(sharedSegments(), ownSegment(), time)) {
                 refuseQuarantined(*segment);
                 return;
             }
@@ -621,9 +621,7 @@
         recordResponseBytes();
         if (!m_bodyBegun) {
             m_bodyBegun = true;
-            m_answered = true;
-            m_state.quarantine().recordAnswered(sharedSegments(), lastSegment(), now());
-            m_onCrashEvidence();
+            recordAnswer();
         }
         if (m_mode != response_mode::eventStream) {
             m_body += piece;
@@ -696,6 +694,8 @@
             onFailure(call_failure::malformed);
             return;
         }
+        if (!m_bodyBegun)
+            recordAnswer();
         const bool failure = m_head.result_int() >= 500;
         endSend(failure ? send_result::failed : send_result::answered,
                 failure ? "failed" : "answered");
@@ -816,7 +816,8 @@
 
     void refuseQuarantined(const quarantined_segment &segment)
     {
-        const char *code = "segment_quarantined";
+        const bool isShared = segment.segment != ownSegment();
+        const char *code = isShared ? "segment_quarantined" : "request_quarantined";
         if (m_deliveries > 0)
             refuse(http::status::bad_gateway, code, std::nullopt);
         else
@@ -880,10 +881,12 @@
         return ids;
     }
 
-    /// Id of the prompt segment that only this request, its repetitions and its session have.
-    std::string lastSegment() const
+    /// What only this request, its repetitions and its session have in common: the last segment of
+    /// its prompt, or its digest if it has none.
+    std::string ownSegment() const
     {
-        return m_request.promptSegments.empty() ? "" : m_request.promptSegments.back().id;
+        return m_request.promptSegments.empty() ? requestDigest()
+                                                : m_request.promptSegments.back().id;
     }
 
     /// Digest of what the repetitions of a request by its client have in common. Empty if it has a
@@ -911,14 +914,28 @@
             m_state.quarantine().recordResponseBytes(m_chosen.target.incarnation(), now());
     }
 
-    /// Records that the current send ends without a byte of the body.
+    /// Records that the current send ends without a byte of the body. Before the head, the instance
+    /// may not have begun with the request: that speaks against its repetitions, not against what
+    /// it shares with others.
     void recordUnansweredSend()
     {
         m_state.quarantine().recordUnansweredSend(
-            {m_chosen.target.incarnation(), m_request.id, sharedSegments(), {}, lastSegment()},
+            {m_chosen.target.incarnation(),
+             m_request.id,
+             m_responseBegun ? sharedSegments() : std::vector<std::string>(),
+             {},
+             ownSegment()},
             now());
     }
 
+    /// Records that the instance has survived the request.
+    void recordAnswer()
+    {
+        m_answered = true;
+        m_state.quarantine().recordAnswered(sharedSegments(), ownSegment(), now());
+        m_onCrashEvidence();
+    }
+
     /// Adds the end of the current send to the evidence on crashes. \a failure is that of the
     /// connection.
     void recordCrashEvidence(call_failure failure)
@@ -927,10 +944,10 @@
         if (failure == call_failure::notSent) {
             m_state.quarantine().recordConnectionRefused(incarnation, now());
         } else if (failure == call_failure::broken) {
-            if (m_responseBegun && !m_bodyBegun) {
+            if (m_responseBegun && !m_bodyBegun)
                 ++m_unansweredBreaks;
+            if (!m_bodyBegun)
                 recordUnansweredSend();
-            }
             m_state.quarantine().recordConnectionLost(incarnation, m_sentAt, now());
         }
         m_onCrashEvidence();
--- a/goldcrestdeck/segment_quarantine.h
+++ b/goldcrestdeck/segment_quarantine.h
@@ -2,7 +2,7 @@
 #define GOLDCRESTDECK_SEGMENT_QUARANTINE_H_
 
 /// \file
-/// Finds prompt segments that crash the upstream instances which begin to respond to them, so that
+/// Finds prompt segments and requests that crash the upstream instances which execute them, so that
 /// requests with such a segment are refused instead of crashing one instance after the other.
 ///
 /// The host records how its own sends end, merges the reports of other hosts, and asks find()
@@ -10,7 +10,10 @@
 /// respond to a request with it. An instance that is heard of again has not crashed, and a segment
 /// that some instance has answered since is cleared. Evidence expires, so a segment is tried again
 /// some minutes after its last crash. The last segment of a prompt counts too: a client repeats its
-/// request, which may crash instances although all that others share with it is sound.
+/// request, which may crash instances although all that others share with it is sound. A request
+/// without a prompt has its digest in place of that segment. A crash before the response began is
+/// evidence against that alone: it cuts requests that the instance has only queued, and what those
+/// share is common.
 ///
 /// Performs no I/O and reads no clock. Used by a single thread.
 
@@ -71,8 +74,8 @@
 public:
     explicit segment_quarantine(quarantine_parameters parameters);
 
-    /// Records a send that ended after the head of the response and before the first byte of its
-    /// body, whether the connection broke or this host closed it. \a suspect.age is ignored.
+    /// Records a send that ended before the first byte of the response's body, whether the
+    /// connection broke or this host closed it. \a suspect.age is ignored.
     void recordUnansweredSend(const crash_suspect &suspect, time_point now);
     /// Records that the connection of a send that began at \a sentAt was lost.
     void recordConnectionLost(const std::string &instance, time_point sentAt, time_point now);
