A refusal that an instance repeats is not taken for that of a later send

Cause: a response on a kept connection was taken for that of the current request if it named the same request or none. It names the same one when a request goes to an instance that has refused it before, over the connection of the refusal; it may name none. Change: a request that is sent to an instance again uses a new connection, and a response that names no request is discarded on a connection that has carried an earlier one: instances name the request in all their responses. A connection on which a response was discarded is not kept. Looked for elsewhere: the store's calls have no ids; they are idempotent or conditional, and a connection with bytes behind a response is closed.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -111,6 +111,7 @@
                call_options options)
     {
         prepare(callId, request, std::move(observer), std::move(options));
+        m_isReused = true;
         send();
     }
 
@@ -316,8 +317,9 @@
                 startParser();
                 return true;
             }
-            m_isOwnResponse
-                = !m_options.isOwnResponse || m_options.isOwnResponse(m_parser->get().base());
+            m_isOwnResponse = !m_options.isOwnResponse
+                || m_options.isOwnResponse(m_parser->get().base(), m_isReused);
+            m_hasDiscarded = m_hasDiscarded || !m_isOwnResponse;
             if (m_isOwnResponse) {
                 m_keepAliveTimeout = keepAliveTimeout(m_parser->get().base());
                 m_observer.onHead(m_parser->get().base());
@@ -351,7 +353,8 @@
         m_timer.cancel();
         // If the response arrives before the request has been fully written, the state of the
         // connection is unknown and it cannot be reused.
-        if (!keepAlive || !m_requestWritten || m_buffer.size() > 0 || m_paused || m_shared->stopped)
+        if (!keepAlive || !m_requestWritten || m_buffer.size() > 0 || m_paused || m_hasDiscarded
+            || m_shared->stopped)
             close();
         else
             returnToPool();
@@ -414,6 +417,8 @@
     bool m_startedWriting = false;
     bool m_headReported = false;
     bool m_isOwnResponse = true;
+    bool m_isReused = false;     ///< The connection has carried an earlier request.
+    bool m_hasDiscarded = false; ///< A response that belonged to an earlier request has arrived.
     bool m_receivedBytes = false;
     bool m_isHeadRequest = false;
 };
--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -53,8 +53,8 @@
     /// server's keep-alive timeout; 0 forces a new connection.
     double maxIdleFraction = 0.75;
     /// If set, responses for which it returns false are discarded: they belong to an earlier
-    /// request on the same connection.
-    std::function<bool(const http1_response_head &)> isOwnResponse;
+    /// request on the same connection. The second argument says whether there has been one.
+    std::function<bool(const http1_response_head &, bool)> isOwnResponse;
 };
 
 class async_client
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -494,11 +494,14 @@
         call_options callOptions;
         callOptions.maxIdleFraction
             = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
-        callOptions.isOwnResponse
-            = [wire = m_dependencies.wire, id = m_request.id](const http1_response_head &head) {
-                  const std::string requestId = wire.decodeResponse(head).requestId;
-                  return requestId.empty() || requestId == id;
-              };
+        // A response of this instance to an earlier send would name the same request.
+        if (!m_everTried.insert(m_chosen.target.incarnation()).second)
+            callOptions.maxIdleFraction = 0;
+        callOptions.isOwnResponse = [wire = m_dependencies.wire, id = m_request.id](
+                                        const http1_response_head &head, bool isReused) {
+            const std::string requestId = wire.decodeResponse(head).requestId;
+            return requestId == id || (requestId.empty() && !isReused);
+        };
         m_call = m_dependencies.client.call(endpoint, m_chosen.target.incarnation(),
                                             m_dependencies.wire.encodeRequest(m_request, options),
                                             std::move(observer), std::move(callOptions));
@@ -1052,8 +1055,9 @@
     chosen_instance m_chosen;
     async_client::call_handle m_call;
     std::set<std::string> m_triedIncarnations;
-    std::string m_retryReason; ///< Label of the next retry in the metrics.
-    unsigned m_sends = 0;      ///< Also the number of the current send.
+    std::set<std::string> m_everTried; ///< Like m_triedIncarnations, but never cleared.
+    std::string m_retryReason;         ///< Label of the next retry in the metrics.
+    unsigned m_sends = 0;              ///< Also the number of the current send.
     unsigned m_attempts = 0;   ///< Sends that count against maxAttempts: those that may have run.
     unsigned m_deliveries = 0; ///< Sends that reached, or may yet reach, an instance.
     unsigned m_rejections = 0; ///< Sends that an instance rejected without running the request.
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -203,6 +203,37 @@
     EXPECT_EQ(platform_instance::bodyFor("r1"), response.body());
 }
 
+/// Both instances of the service "plain" reject their first request, and write that response once
+/// more before they respond to later requests on the same connection.
+class repeated_refusal_fixture : public forwarder_fixture
+{
+protected:
+    void expectEachRequestExecutedOnce(bool refusalHasId)
+    {
+        instance_faults faults;
+        faults.repeatRefusal = true;
+        faults.refusalWithoutId = !refusalHasId;
+        setFaults(faults);
+        raw_http_client client(onLoop([&] { return m_server->address(); }));
+        for (int i = 0; i < 10; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            client.send(requestText("POST", "/once/x", id, "", "{}"));
+            EXPECT_EQ(200U, client.read().result_int()) << id;
+            EXPECT_EQ(1, executionsOf(id)) << id;
+        }
+    }
+};
+
+TEST_F(repeated_refusal_fixture, refusal_of_the_same_request_is_not_taken_for_that_of_a_later_send)
+{
+    expectEachRequestExecutedOnce(true);
+}
+
+TEST_F(repeated_refusal_fixture, refusal_without_an_id_is_not_taken_for_that_of_a_later_request)
+{
+    expectEachRequestExecutedOnce(false);
+}
+
 TEST_F(forwarder_fixture, bytes_after_response_are_discarded)
 {
     instance_faults faults;
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -64,6 +64,15 @@
         connection->write(responseWithLength(421, id, "X-Instance-Id: " + m_id + "\r\n", ""));
         return;
     }
+    if (faults.repeatRefusal && m_refusal.empty()) {
+        m_refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n"
+            + (faults.refusalWithoutId ? std::string() : "X-Request-Id: " + id + "\r\n") + "\r\n";
+        m_refusedOn = connection.get();
+        connection->write(m_refusal);
+        return;
+    }
+    if (m_refusedOn == connection.get())
+        connection->write(m_refusal);
     if (faults.rejectUnexecuted) {
         connection->write(
             responseWithLength(503, id, limitField(faults) + "X-Not-Executed: 1\r\n", ""));
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -34,8 +34,11 @@
     bool resetAtEnd = false;          ///< With omitContentLength: resets instead of closing.
     bool duplicateResponse = false;   ///< Sends a second, unsolicited response.
     bool staleResponseFirst = false;  ///< Sends a response to an earlier request first.
-    bool omitSeal = false;            ///< Omits X-Response-Seal.
-    bool endlessHead = false;         ///< Sends header fields until the connection is closed.
+    bool repeatRefusal = false; ///< Rejects its first request unexecuted, and writes that response
+                                ///< once more before each later one on the same connection.
+    bool refusalWithoutId = false; ///< With repeatRefusal: the response does not name its request.
+    bool omitSeal = false;         ///< Omits X-Response-Seal.
+    bool endlessHead = false;      ///< Sends header fields until the connection is closed.
     bool endlessBody = false;      ///< Sends a body without framing until the connection is closed.
     bool endlessChunkSize = false; ///< Sends a chunk extension until the connection is closed.
     std::string
@@ -97,6 +100,8 @@
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     int m_abandonedStreams = 0;
     bool m_hasCrashed = false;
+    std::string m_refusal; ///< The response to the first request, with repeatRefusal.
+    const raw_connection *m_refusedOn = nullptr;
     std::size_t m_endlessBytes = 0;
     raw_server m_server;
 };
