Test: a stream whose resumption gets an error neither looks complete nor contains the error

It does not happen here: a response that is no event stream ends the client's connection without the end of its framing. Test with 500, 404 and a 200 that is no stream: it passes on the code as it was.

--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -358,6 +358,39 @@
     EXPECT_EQ(1, executionsOf("r1"));
 }
 
+TEST_F(forwarder_fixture,
+       stream_whose_resumption_gets_an_error_does_not_look_complete_or_contain_it)
+{
+    for (const unsigned status : {500U, 404U, 200U}) {
+        instance_faults breaking;
+        breaking.events = 20;
+        breaking.resetAfterEvents = 7;
+        instance_faults failing; // A response that is no stream.
+        failing.status = status;
+        onLoop([&] {
+            m_standins[2]->setFaults(breaking);
+            m_standins[3]->setFaults(failing);
+        });
+        int streams = 0;
+        for (int i = 0; i < 100 && streams < 3; ++i) {
+            const std::string id = std::to_string(status) + '-' + std::to_string(i);
+            raw_http_client client(onLoop([&] { return m_server->address(); }));
+            client.send(
+                requestText("POST", "/stream/x", id, "X-Model: m\r\nConnection: close\r\n", "{}"));
+            const std::string received = client.readAll();
+            if (received.find("data: event 7\n") == std::string::npos)
+                continue; // The instance that fails was asked first.
+            ++streams;
+            EXPECT_EQ(std::string::npos, received.find("data: event 8"));
+            EXPECT_EQ(std::string::npos, received.find(platform_instance::bodyFor(id)));
+            EXPECT_EQ(received.find("HTTP/1.1"), received.rfind("HTTP/1.1"));
+            EXPECT_NE(std::string::npos, received.find("Transfer-Encoding: chunked"));
+            EXPECT_EQ(std::string::npos, received.find("\r\n0\r\n")) << "framed as complete";
+        }
+        EXPECT_EQ(3, streams) << status;
+    }
+}
+
 TEST_F(forwarder_fixture, broken_stream_that_is_not_resumable_is_aborted)
 {
     instance_faults breaking;
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -4,6 +4,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -104,6 +106,18 @@
     return count == 0 && (error == asio::error::eof || error == asio::error::connection_reset);
 }
 
+std::string raw_http_client::readAll()
+{
+    std::string received;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+        const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
+        received.append(buffer.data(), count);
+    }
+    return received;
+}
+
 void raw_http_client::close()
 {
     boost::system::error_code ignored;
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -31,6 +31,8 @@
     /// Reads once. \returns whether the server closed or reset the connection without sending
     /// another byte.
     bool isClosedByServer();
+    /// \returns all bytes until the connection ends, in order or with a reset.
+    std::string readAll();
     void close();
 
 private:
