--- a/goldcrestdeck/endpoint.cc
+++ b/goldcrestdeck/endpoint.cc
@@ -1,6 +1,6 @@
 #include "goldcrestdeck/endpoint.h"
 
-#include <cstdlib>
+#include <charconv>
 
 #include "goldcrestdeck/errors.h"
 
@@ -11,12 +11,13 @@
     const std::size_t colon = address.rfind(':');
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    int port = 0;
-    if (colon != std::string::npos)
-        port = std::atoi(address.c_str() + colon + 1);
-    if (error || port <= 0 || port > UINT16_MAX)
+    std::uint16_t port = 0;
+    const char *end = address.data() + address.size();
+    const char *digits = colon == std::string::npos ? end : address.data() + colon + 1;
+    const auto parsed = std::from_chars(digits, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0)
         throw peer_error("invalid address (expected ip:port): '" + address + "'");
-    return {ip, static_cast<std::uint16_t>(port)};
+    return {ip, port};
 }
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/json.cc
+++ b/goldcrestdeck/json.cc
@@ -45,8 +45,8 @@
     // The key-value service encodes revisions and counts as JSON strings.
     if (json_is_string(member.m_value))
         return std::strtoull(json_string_value(member.m_value), nullptr, 10);
-    if (!json_is_integer(member.m_value))
-        throw json_error(std::string("member '") + key + "' is not an integer");
+    if (!json_is_integer(member.m_value) || json_integer_value(member.m_value) < 0)
+        throw json_error(std::string("member '") + key + "' is not a non-negative integer");
     return static_cast<std::uint64_t>(json_integer_value(member.m_value));
 }
 
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -505,6 +505,45 @@
     EXPECT_EQ(404, sendRequest(0, requestText("GET", "/safe/x", "c")).result_int());
 }
 
+TEST_F(router_process_fixture,
+       odd_entries_of_another_writer_do_not_stop_hosts_from_following_changes)
+{
+    const std::string nested = std::string(50'000, '[') + std::string(50'000, ']');
+    const std::string entry
+        = R"("service": "plain", "zone": "z", "version": "v1", "state": "ready")";
+    onLoop([&] {
+        m_store.put("servers/nested",
+                    R"({"address": "127.0.0.1:9", "slots": 4, "x": )" + nested + "}");
+        m_store.put("servers/deep", nested);
+        m_store.put("servers/large-number",
+                    "{" + entry + R"(, "address": "127.0.0.1:9", "slots": 1e999})");
+        m_store.put("servers/large-count",
+                    "{" + entry + R"(, "address": "127.0.0.1:9", "slots": 9223372036854775807})");
+        m_store.put("servers/port",
+                    "{" + entry + R"(, "address": "127.0.0.1:99999999999", "slots": 4})");
+        m_store.put("servers/bytes", std::string("\xff\x00\xfe", 3));
+        m_store.put("servers/", "{}");
+        putConfig(5, {"/once/", "/new/"});
+    });
+    // The second round is read by hosts that start with the entries.
+    for (const int round : {0, 1}) {
+        for (int i = 0; i < 2; ++i) {
+            for (int n = 0; n < 20; ++n) {
+                const std::string id
+                    = std::to_string(round) + '-' + std::to_string(i) + '-' + std::to_string(n);
+                EXPECT_TRUE(eventually([&] {
+                    return sendRequest(i, requestText("GET", "/new/x", id)).result_int() == 200;
+                }));
+            }
+        }
+        for (int i = 0; i < 2 && round == 0; ++i) {
+            m_hosts[i].process->signal(SIGKILL);
+            m_hosts[i].process->wait();
+            startHost(i);
+        }
+    }
+}
+
 TEST_F(router_process_fixture, store_outage_leaves_known_routes_served)
 {
     standins::store_faults unreachable;
