Requests of other hosts that keep arriving do not put off the poll they wait for

Found while reading the diff: each request in a pause set the timer anew, to 50 ms at least once the poll was due, so that the requests of twenty hosts, less than 50 ms apart, could put it off again and again. Change: a request only ever moves the poll forward. Test: store_follower_fixture.requests_that_keep_arriving_* failed on the commit before, passes.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -236,6 +236,7 @@
 {
     if (m_stopped)
         return;
+    m_nextPollAt = m_clock.now() + delay;
     m_timer.set(delay, [this] {
         if (!m_stopped)
             poll();
@@ -614,9 +615,17 @@
 
 void store_follower::onFeedRequest()
 {
-    // The pause was that of a host which serves no others. After a failure, a retry is due soon.
-    if (!m_polling && m_reachable)
-        scheduleNextPoll();
+    // After a failure, a retry is due soon.
+    if (m_polling || !m_reachable)
+        return;
+    const time_point now = m_clock.now();
+    const time_point dueAt = std::max(now,
+                                      m_pollSentAt
+                                          + std::chrono::duration_cast<duration>(
+                                              servingPollFraction * m_settings.pollInterval()));
+    // The pause was that of a host which serves no others.
+    if (dueAt < m_nextPollAt)
+        schedule(std::chrono::duration_cast<std::chrono::milliseconds>(dueAt - now));
 }
 
 void store_follower::apply(const kv_item &item)
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -212,7 +212,8 @@
     bool m_afterOutage = false; ///< The current response is the first one after an outage.
     bool m_dirty = false;       ///< The view has changed since it was last published.
     std::uint64_t m_revision = 0;
-    time_point m_pollSentAt;
+    time_point m_pollSentAt;  ///< When the latest poll began.
+    time_point m_nextPollAt;  ///< If none is in progress.
     time_point m_lastContact; ///< When the latest successful call to the service was sent.
     time_point m_lastChange;  ///< Last arrival of a change, a host's reply or a full read.
     /// Of calls of confirm() that the poll in progress serves.
--- a/goldcrestdeck/testing/store_follower_test.cc
+++ b/goldcrestdeck/testing/store_follower_test.cc
@@ -171,5 +171,26 @@
     EXPECT_EQ(feed_outcome::available, outcome);
 }
 
+TEST_F(store_follower_fixture, requests_that_keep_arriving_do_not_put_off_the_reply)
+{
+    startFollower();
+    other_host client(m_io, m_clock, newAddress());
+    std::optional<time_point> repliedAt;
+    one_shot_timer request(m_io.get_executor());
+    const std::function<void()> requestOften = [&] {
+        client.link.requestChanges(m_settings.peerAddress, 1, std::chrono::seconds(10),
+                                   [&](const feed_reply &) {
+                                       if (!repliedAt)
+                                           repliedAt = m_clock.now();
+                                   });
+        request.set(milliseconds(20), requestOften);
+    };
+    request.set(m_settings.pollInterval() * 8 / 10, requestOften);
+    m_io.run_for(m_settings.pollInterval() * 3);
+    ASSERT_TRUE(repliedAt);
+    ASSERT_FALSE(m_contacts.empty());
+    EXPECT_LT(*repliedAt - m_contacts.front(), m_settings.pollInterval());
+}
+
 } // namespace
 } // namespace goldcrestdeck
