--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -949,8 +949,8 @@
         } else if (failure == call_failure::broken) {
             if (m_responseBegun && !m_bodyBegun)
                 ++m_unansweredBreaks;
-            // A crashed inference engine cuts many requests that it has only queued; as suspects
-            // they would cost every host more than its share of a processor.
+            // An inference engine that crashes cuts many requests that it has only queued.
+            // Reporting them all takes more processor time than a small host has.
             if (!m_bodyBegun && (m_responseBegun || m_request.promptSegments.empty()))
                 recordUnansweredSend();
             m_state.quarantine().recordConnectionLost(incarnation, m_sentAt, now());
