A connection that is lost is no crash until the instance refuses another

Streams whose instances crash before the head went on crashing them. Each report made every host that answered the shared segments report that, again after each new suspect, so cost grew with lost responses times hosts. Change: the host opens a connection to the instance 50 ms after a cut (liveness_check, one for each process, at most 8 at a time). Until then the crash is presumed, here only; refused, it is verified and reported; accepted, the evidence is dropped. An answer is reported only if the reports alone would put its segment in quarantine, by a host whose random wait ends before it hears of another's. An answer after the first one since the latest crash no longer starts the evaluation again, which each answered request did. Ruled out: a slower report alone (the number of reports stays).

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -130,7 +130,8 @@
     active_request(forwarder_dependencies &dependencies, const std::optional<drain_schedule> &drain,
                    client_request request, std::shared_ptr<response_writer> writer,
                    std::shared_ptr<std::set<std::shared_ptr<active_request>>> activeRequests,
-                   std::function<void()> onCrashEvidence, std::size_t &bufferedBytes)
+                   std::function<void()> onCrashEvidence,
+                   std::function<void(const instance &)> checkInstance, std::size_t &bufferedBytes)
         : m_dependencies(dependencies)
         , m_drain(drain)
         , m_state(dependencies.state)
@@ -138,6 +139,7 @@
         , m_writer(std::move(writer))
         , m_activeRequests(std::move(activeRequests))
         , m_onCrashEvidence(std::move(onCrashEvidence))
+        , m_checkInstance(std::move(checkInstance))
         , m_bufferedBytes(bufferedBytes)
         , m_timer(dependencies.io.get_executor())
         , m_slowTimer(dependencies.io.get_executor())
@@ -949,11 +951,11 @@
         } else if (failure == call_failure::broken) {
             if (m_responseBegun && !m_bodyBegun)
                 ++m_unansweredBreaks;
-            // An inference engine that crashes cuts many requests that it has only queued.
-            // Reporting them all takes more processor time than a small host has.
-            if (!m_bodyBegun && (m_responseBegun || m_request.promptSegments.empty()))
+            if (!m_bodyBegun)
                 recordUnansweredSend();
             m_state.quarantine().recordConnectionLost(incarnation, m_sentAt, now());
+            if (m_state.quarantine().isUnverified(incarnation))
+                m_checkInstance(m_chosen.target);
         }
         m_onCrashEvidence();
     }
@@ -1040,6 +1042,8 @@
     std::shared_ptr<response_writer> m_writer;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     std::function<void()> m_onCrashEvidence;
+    /// Finds out whether an instance that has cut a send has crashed.
+    std::function<void(const instance &)> m_checkInstance;
     std::size_t &m_bufferedBytes; ///< Of all requests.
     one_shot_timer m_timer;
     one_shot_timer m_slowTimer;
@@ -1097,6 +1101,7 @@
     : m_dependencies(std::move(dependencies))
     , m_activeRequests(std::make_shared<std::set<std::shared_ptr<active_request>>>())
     , m_reportTimer(m_dependencies.io.get_executor())
+    , m_livenessCheck(m_dependencies.io, m_dependencies.time, liveness_parameters())
 { }
 
 forwarder::~forwarder() = default;
@@ -1107,7 +1112,8 @@
         client_request decoded = m_dependencies.wire.decodeRequest(std::move(request));
         const auto active = std::make_shared<active_request>(
             m_dependencies, m_drain, std::move(decoded), std::move(writer), m_activeRequests,
-            [this] { onCrashEvidence(); }, m_bufferedBytes);
+            [this] { onCrashEvidence(); },
+            [this](const instance &target) { checkInstance(target); }, m_bufferedBytes);
         active->start();
     } catch (const request_error &error) {
         logEvent(log_level::info, "request_malformed", {{"error", error.what()}});
@@ -1117,6 +1123,22 @@
     }
 }
 
+void forwarder::checkInstance(const instance &target)
+{
+    m_livenessCheck.start(
+        parseEndpoint(target.address), target.incarnation(),
+        [this, incarnation = target.incarnation()](liveness state, time_point openedAt) {
+            logEvent(log_level::info, "instance_checked",
+                     {{"instance", incarnation}, {"state", toString(state)}});
+            segment_quarantine &quarantine = m_dependencies.state.quarantine();
+            if (state == liveness::accepting)
+                quarantine.recordConnectionAccepted(incarnation, openedAt);
+            else if (state == liveness::refusing)
+                quarantine.recordConnectionRefused(incarnation, m_dependencies.time.now());
+            onCrashEvidence();
+        });
+}
+
 void forwarder::onCrashEvidence()
 {
     segment_quarantine &quarantine = m_dependencies.state.quarantine();
@@ -1135,8 +1157,10 @@
     if (!quarantine.reportDueAt())
         return;
     m_reportTimer.set(std::max<duration>(*quarantine.reportDueAt() - now, duration(0)), [this] {
-        m_dependencies.reportCrashes(
-            m_dependencies.state.quarantine().makeReport(m_dependencies.time.now()));
+        const auto report = m_dependencies.state.quarantine().takeReport(m_dependencies.time.now());
+        if (report)
+            m_dependencies.reportCrashes(*report);
+        onCrashEvidence();
     });
 }
 
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -20,6 +20,7 @@
 
 #include "goldcrestdeck/async_client.h"
 #include "goldcrestdeck/drain_policy.h"
+#include "goldcrestdeck/liveness_check.h"
 #include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/router_metrics.h"
 #include "goldcrestdeck/store_follower.h"
@@ -72,11 +73,14 @@
 
     /// Logs segments that entered or left the quarantine, and arms the timer of the next report.
     void onCrashEvidence();
+    /// Checks whether an instance that has cut a send has crashed.
+    void checkInstance(const instance &target);
 
     forwarder_dependencies m_dependencies;
     std::optional<drain_schedule> m_drain;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     one_shot_timer m_reportTimer;
+    liveness_check m_livenessCheck;
     std::size_t m_bufferedBytes = 0;
 };
 
--- a/goldcrestdeck/segment_quarantine.cc
+++ b/goldcrestdeck/segment_quarantine.cc
@@ -6,6 +6,7 @@
 #include "goldcrestdeck/segment_quarantine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace goldcrestdeck {
@@ -17,8 +18,6 @@
 constexpr std::size_t maxSuspectsPerInstance = 32;
 constexpr std::size_t maxAnsweredSegments = 10'000;
 constexpr std::size_t maxSegmentBytes = 128;
-/// Crashes from which on an answer to a segment is reported to the other hosts.
-constexpr std::size_t minReportedCrashes = 2;
 constexpr std::chrono::milliseconds expiryInterval{1000};
 
 std::vector<std::string> boundedSegments(const std::vector<std::string> &segments)
@@ -39,6 +38,16 @@
 
 } // namespace
 
+std::chrono::milliseconds suppressionDelay(double draw, std::size_t hosts,
+                                           std::chrono::milliseconds longest)
+{
+    if (hosts < 2 || draw <= 0)
+        return std::chrono::milliseconds(0);
+    const double fraction
+        = std::max(0.0, 1 + std::log(draw) / std::log(static_cast<double>(hosts)));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(fraction * longest);
+}
+
 bool operator==(const quarantined_segment &a, const quarantined_segment &b)
 {
     return std::tie(a.segment, a.crashes, a.requests, a.until)
@@ -89,15 +98,37 @@
                                               time_point now)
 {
     if (!discardCommonLoss(instance, sentAt, now))
-        confirmCrash(instance, now);
+        confirmCrash(instance, false, now);
 }
 
 void segment_quarantine::recordConnectionRefused(const std::string &instance, time_point now)
 {
-    confirmCrash(instance, now);
+    confirmCrash(instance, true, now);
 }
 
-void segment_quarantine::confirmCrash(const std::string &instance, time_point now)
+void segment_quarantine::recordConnectionAccepted(const std::string &instance, time_point openedAt)
+{
+    const auto found = m_evidence.find(instance);
+    // A process that has crashed may have a successor at the same address.
+    if (found == m_evidence.end() || found->second.isVerified)
+        return;
+    m_changed = m_changed || found->second.isCrashed;
+    std::vector<suspect_request> &suspects = found->second.suspects;
+    suspects.erase(
+        std::remove_if(suspects.begin(), suspects.end(),
+                       [&](const suspect_request &suspect) { return suspect.at <= openedAt; }),
+        suspects.end());
+    if (suspects.empty())
+        m_evidence.erase(found);
+}
+
+bool segment_quarantine::isUnverified(const std::string &instance) const
+{
+    const auto found = m_evidence.find(instance);
+    return found != m_evidence.end() && !found->second.isVerified;
+}
+
+void segment_quarantine::confirmCrash(const std::string &instance, bool isVerified, time_point now)
 {
     const auto found = m_evidence.find(instance);
     if (found == m_evidence.end())
@@ -105,9 +136,10 @@
     const time_point latest = found->second.latest();
     if (now - latest > m_parameters.confirmationTime)
         return;
-    if (!found->second.isCrashed || latest == now)
-        scheduleReport(now);
     found->second.isCrashed = true;
+    found->second.isVerified = found->second.isVerified || isVerified;
+    if (found->second.isVerified)
+        scheduleReport(now + m_parameters.settleTime);
     m_changed = true;
 }
 
@@ -165,8 +197,14 @@
 {
     if (segment.size() > maxSegmentBytes)
         return;
+    const time_point previous = answeredAt(segment);
     setAnswered(segment, now, true);
-    m_changed = m_changed || m_suspected.count(segment) > 0;
+    const auto suspected = m_suspected.find(segment);
+    // Later answers do not alter what the first one after the latest crash has cleared.
+    m_changed = m_changed
+        || (suspected != m_suspected.end()
+            && std::any_of(suspected->second.begin(), suspected->second.end(),
+                           [&](const sighting &seen) { return seen.at > previous; }));
 }
 
 void segment_quarantine::setAnswered(const std::string &segment, time_point at, bool isOwn)
@@ -193,10 +231,14 @@
                        {suspect.request, boundedSegments(suspect.segments), now - suspect.age,
                         origin == report_origin::earlierProcess, suspect.lastSegment});
         evidence.isCrashed = true;
+        evidence.isVerified = true;
     }
     for (const answered_segment &answered : report.answered) {
-        if (answered.segment.size() <= maxSegmentBytes)
-            setAnswered(answered.segment, now - answered.age, false);
+        if (answered.segment.size() > maxSegmentBytes)
+            continue;
+        setAnswered(answered.segment, now - answered.age, false);
+        segment_answer &answer = m_answers[answered.segment];
+        answer.toldAt = std::max(answer.toldAt, now - answered.age);
     }
     m_changed = true;
     expire(now);
@@ -240,10 +282,9 @@
 {
     update(now);
     m_reportDueAt.reset();
-    m_lastReport = now;
     crash_report report;
     for (const auto &entry : m_evidence) {
-        if (!entry.second.isCrashed)
+        if (!entry.second.isVerified)
             continue;
         for (const suspect_request &suspect : entry.second.suspects) {
             if (suspect.isOwn)
@@ -263,11 +304,70 @@
     return report;
 }
 
-void segment_quarantine::scheduleReport(time_point now)
+std::optional<crash_report> segment_quarantine::takeReport(time_point now)
 {
-    if (!m_reportDueAt)
-        m_reportDueAt
-            = std::max(now + m_parameters.settleTime, m_lastReport + m_parameters.reportInterval);
+    update(now);
+    // Other hosts may have reported the answers meanwhile.
+    for (auto i = m_ownAnswers.begin(); i != m_ownAnswers.end();) {
+        const bool isReported = m_reportedAnswers.count(i->first) > 0;
+        const auto suspected = m_suspected.find(i->first);
+        const bool isNeeded = suspected != m_suspected.end()
+            && isAnswerNeeded(suspected->second, m_answers[i->first]);
+        i = isReported || isNeeded ? std::next(i) : m_ownAnswers.erase(i);
+    }
+    crash_report report = makeReport(now);
+    const bool hasNewSuspect = std::any_of(
+        report.suspects.begin(), report.suspects.end(), [&](const crash_suspect &suspect) {
+            return m_reportedSuspects.count({suspect.instance, suspect.request}) == 0;
+        });
+    const bool hasNewAnswer = std::any_of(
+        report.answered.begin(), report.answered.end(), [&](const answered_segment &answered) {
+            const auto reported = m_reportedAnswers.find(answered.segment);
+            return reported == m_reportedAnswers.end()
+                || reported->second != m_ownAnswers[answered.segment];
+        });
+    if (!hasNewSuspect && !hasNewAnswer)
+        return std::nullopt;
+    m_lastReport = now;
+    m_reportedSuspects.clear();
+    for (const crash_suspect &suspect : report.suspects)
+        m_reportedSuspects.emplace(suspect.instance, suspect.request);
+    m_reportedAnswers.clear();
+    for (const answered_segment &answered : report.answered) {
+        const time_point at = m_ownAnswers[answered.segment];
+        m_reportedAnswers[answered.segment] = at;
+        segment_answer &answer = m_answers[answered.segment];
+        answer.toldAt = std::max(answer.toldAt, at);
+    }
+    return report;
+}
+
+void segment_quarantine::scheduleReport(time_point at)
+{
+    const time_point dueAt = std::max(at, m_lastReport + m_parameters.reportInterval);
+    m_reportDueAt = m_reportDueAt ? std::min(*m_reportDueAt, dueAt) : dueAt;
+}
+
+bool segment_quarantine::isSufficient(const std::vector<sighting> &sightings,
+                                      time_point after) const
+{
+    std::set<std::string> instances;
+    std::set<std::string> requests;
+    for (const sighting &seen : sightings) {
+        if (seen.at <= after)
+            continue;
+        instances.insert(seen.instance);
+        requests.insert(seen.request);
+    }
+    return instances.size() >= m_parameters.minCrashes
+        && requests.size() >= m_parameters.minRequests;
+}
+
+bool segment_quarantine::isAnswerNeeded(const std::vector<sighting> &sightings,
+                                        const segment_answer &answer) const
+{
+    return answer.ownAt > answer.toldAt && isSufficient(sightings, answer.toldAt)
+        && !isSufficient(sightings, answer.ownAt);
 }
 
 void segment_quarantine::expire(time_point now)
@@ -278,10 +378,10 @@
     const auto isExpired = [&](time_point at) { return now - at > m_parameters.lifetime; };
     for (auto i = m_evidence.begin(); i != m_evidence.end();) {
         const time_point latest = i->second.latest();
-        const bool isUnconfirmed
-            = !i->second.isCrashed && now - latest > m_parameters.confirmationTime;
-        m_changed = m_changed || (i->second.isCrashed && isExpired(latest));
-        i = isUnconfirmed || isExpired(latest) ? m_evidence.erase(i) : std::next(i);
+        const bool isUnverified
+            = !i->second.isVerified && now - latest > m_parameters.confirmationTime;
+        m_changed = m_changed || (i->second.isCrashed && (isUnverified || isExpired(latest)));
+        i = isUnverified || isExpired(latest) ? m_evidence.erase(i) : std::next(i);
     }
     while (m_evidence.size() > maxInstances) {
         m_evidence.erase(std::min_element(
@@ -334,38 +434,27 @@
 {
     m_suspected.clear();
     for (const auto &entry : m_evidence) {
-        if (!entry.second.isCrashed)
+        if (!entry.second.isVerified)
             continue;
-        std::set<std::string> counted;
         for (const suspect_request &suspect : entry.second.suspects) {
-            for (const std::string &segment : suspect.allSegments()) {
-                suspected_segment &suspected = m_suspected[segment];
-                suspected.earliest = suspected.crashes == 0
-                    ? suspect.at
-                    : std::min(suspected.earliest, suspect.at);
-                suspected.latest = std::max(suspected.latest, suspect.at);
-                suspected.crashes += counted.insert(segment).second ? 1 : 0;
-            }
+            for (const std::string &segment : suspect.allSegments())
+                m_suspected[segment].push_back({suspect.at, entry.first, suspect.request});
         }
     }
 }
 
-/// Selects the answers of this host that other hosts need to know: those that clear a segment of
-/// evidence, unless an answer after the same evidence was reported before.
+/// Selects the answers of this host that other hosts need to know.
 void segment_quarantine::updateOwnAnswers(time_point now)
 {
     for (const auto &entry : m_suspected) {
         const auto answer = m_answers.find(entry.first);
-        if (answer == m_answers.end() || entry.second.crashes < minReportedCrashes
-            || answer->second.ownAt < entry.second.earliest)
+        if (answer == m_answers.end() || !isAnswerNeeded(entry.second, answer->second))
             continue;
-        const auto reported = m_ownAnswers.find(entry.first);
-        if (reported != m_ownAnswers.end()
-            && (reported->second >= entry.second.latest
-                || answer->second.ownAt < entry.second.latest))
+        time_point &selected = m_ownAnswers[entry.first];
+        if (selected > answer->second.toldAt && !isSufficient(entry.second, selected))
             continue;
-        m_ownAnswers[entry.first] = answer->second.ownAt;
-        scheduleReport(now);
+        selected = answer->second.ownAt;
+        scheduleReport(now + m_parameters.settleTime + m_parameters.answerDelay);
     }
 }
 
@@ -380,7 +469,7 @@
     updateOwnAnswers(now);
     std::set<std::string> explainedInstances;
     auto candidates = collectEvidence(explainedInstances);
-    const auto isSufficient = [&](const segment_evidence &evidence) {
+    const auto hasSufficient = [&](const segment_evidence &evidence) {
         return evidence.crashes >= m_parameters.minCrashes
             && evidence.requests >= m_parameters.minRequests;
     };
@@ -390,12 +479,12 @@
         // beside it, and then the one that fewer other requests share.
         const auto worst = std::max_element(
             candidates.begin(), candidates.end(), [&](const auto &a, const auto &b) {
-                return std::make_tuple(isSufficient(a.second), a.second.crashes,
+                return std::make_tuple(hasSufficient(a.second), a.second.crashes,
                                        b.second.answeredAt, b.second.isLast, a.second.depth)
-                    < std::make_tuple(isSufficient(b.second), b.second.crashes, a.second.answeredAt,
-                                      a.second.isLast, b.second.depth);
+                    < std::make_tuple(hasSufficient(b.second), b.second.crashes,
+                                      a.second.answeredAt, a.second.isLast, b.second.depth);
             });
-        if (!isSufficient(worst->second))
+        if (!hasSufficient(worst->second))
             break;
         const std::string segment = worst->first;
         m_quarantined[segment] = {segment, worst->second.crashes, worst->second.requests,
--- a/goldcrestdeck/segment_quarantine.h
+++ b/goldcrestdeck/segment_quarantine.h
@@ -7,13 +7,19 @@
 ///
 /// The host records how its own sends end, merges the reports of other hosts, and asks find()
 /// before each send. Evidence against a segment are crashes of instances that had just begun to
-/// respond to a request with it. An instance that is heard of again has not crashed, and a segment
-/// that some instance has answered since is cleared. Evidence expires, so a segment is tried again
-/// some minutes after its last crash. The last segment of a prompt counts too: a client repeats its
-/// request, which may crash instances although all that others share with it is sound. A request
-/// without a prompt has its digest in place of that segment. A crash before the response began is
-/// evidence against that alone: it cuts requests that the instance has only queued, and what those
-/// share is common.
+/// respond to a request with it. Responses are also reset by instances that go on, so the caller
+/// checks whether the instance still accepts connections: until then its crash is presumed, and one
+/// that refuses them has crashed. An instance that is heard of again has not, and a segment that
+/// some instance has answered since is cleared.
+///
+/// Reports to other hosts contain verified crashes, and answers that clear a segment which the
+/// reports alone would put in quarantine. All hosts answer the shared segments, so each waits a
+/// different time before it reports an answer, and does not if another host has. Evidence expires,
+/// so a segment is tried again some minutes after its last crash. The last segment of a prompt
+/// counts too: a client repeats its request, which may crash instances although all that others
+/// share with it is sound. A request without a prompt has its digest in place of that segment. A
+/// crash before the response began is evidence against that alone: it cuts requests that the
+/// instance has only queued, and what those share is common.
 ///
 /// Performs no I/O and reads no clock. Used by a single thread.
 
@@ -47,8 +53,16 @@
     std::size_t minCommonLosses = 3;
     /// Minimum time between two reports to the other hosts.
     std::chrono::milliseconds reportInterval{500};
+    /// How long this host waits for another one to report an answer.
+    std::chrono::milliseconds answerDelay{0};
 };
 
+/// Draws how long one of \a hosts hosts waits for another one to report what all of them know, at
+/// most \a longest. \a draw is uniform in [0, 1). The time is distributed so that the number of
+/// hosts that have reported after a fraction f of \a longest is about hosts^f.
+std::chrono::milliseconds suppressionDelay(double draw, std::size_t hosts,
+                                           std::chrono::milliseconds longest);
+
 enum class report_origin {
     otherHost,
     earlierProcess ///< Of this host; what it reported is reported again.
@@ -79,8 +93,13 @@
     void recordUnansweredSend(const crash_suspect &suspect, time_point now);
     /// Records that the connection of a send that began at \a sentAt was lost.
     void recordConnectionLost(const std::string &instance, time_point sentAt, time_point now);
-    /// Records that no connection to \a instance could be opened.
+    /// Records that \a instance refused a connection: it has crashed if it cut a send before.
     void recordConnectionRefused(const std::string &instance, time_point now);
+    /// Records that \a instance accepted a connection opened at \a openedAt: it did not crash on
+    /// the sends that it had cut by then.
+    void recordConnectionAccepted(const std::string &instance, time_point openedAt);
+    /// Whether \a instance has cut sends and it is not known yet whether it has crashed.
+    bool isUnverified(const std::string &instance) const;
     /// Records that \a instance has sent bytes: it was alive shortly before.
     void recordResponseBytes(const std::string &instance, time_point now);
     /// Records the first byte of the body of a response to a prompt with \a segments and then
@@ -100,10 +119,15 @@
     /// \returns the changes since the last call.
     quarantine_changes takeChanges(time_point now);
 
-    /// When the next report is to be made; nullopt if there is nothing to report.
+    /// When takeReport() is to be called; nullopt if there is nothing to report.
     std::optional<time_point> reportDueAt() const { return m_reportDueAt; }
+    /// \returns all that the other hosts need to know; nullopt if the last report said so.
+    std::optional<crash_report> takeReport(time_point now);
     crash_report makeReport(time_point now);
 
+    /// Sets how long this host waits for another one to report an answer.
+    void setAnswerDelay(std::chrono::milliseconds delay) { m_parameters.answerDelay = delay; }
+
 private:
     struct suspect_request {
         std::string request;
@@ -118,7 +142,8 @@
     /// Evidence on one incarnation.
     struct instance_evidence {
         std::vector<suspect_request> suspects;
-        bool isCrashed = false;
+        bool isCrashed = false;  ///< Presumed as soon as a connection is lost.
+        bool isVerified = false; ///< It refused a connection, or another host says so.
 
         time_point latest() const;
     };
@@ -132,20 +157,27 @@
     };
     struct segment_answer {
         time_point at;
-        time_point ownAt; ///< By this host.
+        time_point ownAt;  ///< By this host.
+        time_point toldAt; ///< Latest that a host has reported.
     };
-    struct suspected_segment {
-        std::size_t crashes = 0;
-        time_point earliest;
-        time_point latest;
+    /// One suspect of a segment.
+    struct sighting {
+        time_point at;
+        std::string instance;
+        std::string request;
     };
     void recordAnswer(const std::string &segment, time_point now);
 
     using quarantine_map = std::map<std::string, quarantined_segment>;
 
-    void confirmCrash(const std::string &instance, time_point now);
+    /// Presumes that \a instance has crashed on the sends that it has cut lately, or knows it.
+    void confirmCrash(const std::string &instance, bool isVerified, time_point now);
     void addSuspect(const std::string &instance, suspect_request suspect);
-    void scheduleReport(time_point now);
+    void scheduleReport(time_point at);
+    /// Whether the sightings later than \a after are enough to put their segment in quarantine.
+    bool isSufficient(const std::vector<sighting> &sightings, time_point after) const;
+    /// Whether the other hosts need to know of this host's latest answer to a segment.
+    bool isAnswerNeeded(const std::vector<sighting> &sightings, const segment_answer &answer) const;
     void expire(time_point now);
     void update(time_point now);
     bool discardCommonLoss(const std::string &instance, time_point sentAt, time_point now);
@@ -161,7 +193,10 @@
     std::map<std::string, segment_answer> m_answers;     ///< By segment.
     std::map<std::string, time_point> m_ownAnswers;      ///< Of suspected segments, to be reported.
     std::map<std::string, time_point> m_recentLosses;    ///< By incarnation.
-    std::map<std::string, suspected_segment> m_suspected; ///< Answered or not.
+    std::map<std::string, std::vector<sighting>> m_suspected; ///< By segment; answered or not.
+    /// Suspects in the last report, by instance and request.
+    std::set<std::pair<std::string, std::string>> m_reportedSuspects;
+    std::map<std::string, time_point> m_reportedAnswers; ///< In the last report.
     quarantine_map m_quarantined;
     quarantine_map m_reportedToCaller; ///< As of the last takeChanges().
     bool m_changed = false;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -539,6 +539,24 @@
     });
 }
 
+TEST_F(crashing_request_fixture,
+       responses_reset_by_instances_that_go_on_are_not_reported_as_crashes)
+{
+    instance_faults faults;
+    faults.resetBeforeResponse = true;
+    setFaults(faults);
+    for (int i = 0; i < 6; ++i) {
+        sendRequest(requestText("GET", "/safe/same", "r" + std::to_string(i)));
+        sendRequest(requestText("POST", "/stream/x", "p" + std::to_string(i),
+                                "X-Model: m\r\nX-Prompt-Prefix: common:40,own:10\r\n", "text"));
+        std::this_thread::sleep_for(milliseconds(150));
+    }
+    setFaults({});
+    EXPECT_EQ(200U, sendRequest(requestText("GET", "/safe/same", "last")).result_int());
+    std::this_thread::sleep_for(milliseconds(700));
+    EXPECT_EQ(0U, onLoop([&] { return m_crashReports.size(); }));
+}
+
 /// Ten instances of the service "engine" that crash on any prompt with the segment "deadly".
 class crashing_segment_fixture : public forwarder_fixture
 {
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -168,7 +168,7 @@
                 asio::post(m_io, [this, done = std::move(done)] { done(m_confirmSucceeds); });
         },
         [this](const request_outcome &outcome) { m_outcomes.push_back(outcome); },
-        [](const crash_report &) {},
+        [this](const crash_report &report) { m_crashReports.push_back(report); },
         [this](const rate_limit_report &report) { m_rateLimitReports.push_back(report); }};
     m_forwarder = std::make_unique<forwarder>(std::move(dependencies));
     m_server = std::make_unique<async_server>(
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -90,6 +90,7 @@
     int m_confirmCalls = 0;
     std::vector<request_outcome> m_outcomes; ///< Reported; use on the event loop's thread only.
     std::vector<rate_limit_report> m_rateLimitReports; ///< Use on the event loop's thread only.
+    std::vector<crash_report> m_crashReports;          ///< Use on the event loop's thread only.
     std::function<void()> m_onConfirm;                 ///< Called, if set, on each call to confirm.
 
     boost::asio::io_context m_io{1};
--- a/goldcrestdeck/testing/segment_quarantine_test.cc
+++ b/goldcrestdeck/testing/segment_quarantine_test.cc
@@ -26,6 +26,7 @@
         m_quarantine.recordUnansweredSend({instance, request, segments, {}, lastSegment},
                                           m_time.now());
         m_quarantine.recordConnectionLost(instance, sentAt, m_time.now());
+        m_quarantine.recordConnectionRefused(instance, m_time.now());
     }
 
     bool isQuarantined(const std::string &segment)
@@ -91,6 +92,7 @@
             m_quarantine.recordUnansweredSend(
                 {instance, digest + std::to_string(i), {}, {}, digest}, m_time.now());
         m_quarantine.recordConnectionLost(instance, m_time.now() - milliseconds(50), m_time.now());
+        m_quarantine.recordConnectionRefused(instance, m_time.now());
         if (i == 0)
             m_quarantine.recordAnswered({}, "repeated", m_time.now());
     }
@@ -158,6 +160,107 @@
     EXPECT_TRUE(isQuarantined("deadly"));
 }
 
+TEST_F(segment_quarantine_fixture, instance_that_accepts_connections_has_not_crashed)
+{
+    for (int i = 1; i <= 5; ++i) {
+        const std::string instance = "i" + std::to_string(i);
+        m_time.advance(milliseconds(300));
+        m_quarantine.recordUnansweredSend({instance, "r" + instance, {"common"}, {}, "own"},
+                                          m_time.now());
+        m_quarantine.recordConnectionLost(instance, m_time.now() - milliseconds(50), m_time.now());
+        EXPECT_TRUE(m_quarantine.isUnverified(instance));
+        m_quarantine.recordConnectionAccepted(instance, m_time.now() + milliseconds(50));
+        EXPECT_FALSE(m_quarantine.isUnverified(instance));
+        // Refused later for another reason: nothing says that it crashed on the request.
+        m_quarantine.recordConnectionRefused(instance, m_time.now() + milliseconds(400));
+    }
+    EXPECT_FALSE(isQuarantined("common"));
+    EXPECT_FALSE(m_quarantine.find({}, "own", m_time.now()));
+    EXPECT_FALSE(m_quarantine.reportDueAt());
+}
+
+TEST_F(segment_quarantine_fixture, connection_opened_before_the_cut_says_nothing_of_it)
+{
+    const time_point openedAt = m_time.now();
+    m_time.advance(milliseconds(10));
+    m_quarantine.recordUnansweredSend({"i1", "r1", {"deadly"}, {}}, m_time.now());
+    m_quarantine.recordConnectionAccepted("i1", openedAt);
+    EXPECT_TRUE(m_quarantine.isUnverified("i1"));
+}
+
+TEST_F(segment_quarantine_fixture, presumed_crash_counts_at_once_and_is_not_reported)
+{
+    for (int i = 1; i <= 3; ++i) {
+        const std::string instance = "i" + std::to_string(i);
+        m_time.advance(milliseconds(300));
+        m_quarantine.recordUnansweredSend({instance, "r" + instance, {"common"}, {}}, m_time.now());
+        m_quarantine.recordConnectionLost(instance, m_time.now() - milliseconds(50), m_time.now());
+    }
+    EXPECT_TRUE(isQuarantined("common"));
+    EXPECT_FALSE(m_quarantine.reportDueAt());
+    EXPECT_TRUE(m_quarantine.makeReport(m_time.now()).suspects.empty());
+    m_time.advance(quarantine_parameters().confirmationTime + seconds(2));
+    EXPECT_FALSE(isQuarantined("common"));
+}
+
+TEST_F(segment_quarantine_fixture, report_without_news_is_not_made_again)
+{
+    crash("i1", "r1", {"common", "deadly"});
+    ASSERT_TRUE(m_quarantine.reportDueAt());
+    m_time.advance(seconds(1));
+    ASSERT_TRUE(m_quarantine.takeReport(m_time.now()));
+    EXPECT_FALSE(m_quarantine.reportDueAt());
+    m_quarantine.recordConnectionRefused("i1", m_time.now());
+    m_time.advance(seconds(1));
+    EXPECT_FALSE(m_quarantine.takeReport(m_time.now()));
+    crash("i2", "r2", {"common", "deadly"});
+    m_time.advance(seconds(1));
+    const auto next = m_quarantine.takeReport(m_time.now());
+    ASSERT_TRUE(next);
+    EXPECT_EQ(2U, next->suspects.size());
+}
+
+TEST_F(segment_quarantine_fixture, answers_after_the_first_are_not_reported_again)
+{
+    for (int i = 1; i <= 4; ++i)
+        crash("i" + std::to_string(i), "r" + std::to_string(i), {"common"});
+    m_quarantine.takeReport(m_time.now());
+    m_quarantine.recordAnswered({"common"}, "", m_time.now());
+    EXPECT_FALSE(isQuarantined("common"));
+    m_time.advance(seconds(1));
+    ASSERT_TRUE(m_quarantine.takeReport(m_time.now()));
+    for (int i = 0; i < 100; ++i) {
+        m_time.advance(milliseconds(100));
+        m_quarantine.recordAnswered({"common"}, "", m_time.now());
+        EXPECT_FALSE(isQuarantined("common"));
+        EXPECT_FALSE(m_quarantine.reportDueAt());
+    }
+    // A single crash does not put the segment in quarantine anywhere.
+    crash("i5", "r5", {"common"});
+    m_quarantine.takeReport(m_time.now() + seconds(1));
+    m_quarantine.recordAnswered({"common"}, "", m_time.now());
+    EXPECT_FALSE(isQuarantined("common"));
+    EXPECT_FALSE(m_quarantine.reportDueAt());
+}
+
+TEST_F(segment_quarantine_fixture, answer_that_another_host_has_reported_is_not_reported)
+{
+    for (int i = 1; i <= 3; ++i)
+        crash("i" + std::to_string(i), "r" + std::to_string(i), {"common"});
+    m_quarantine.takeReport(m_time.now());
+    m_quarantine.setAnswerDelay(seconds(2));
+    m_quarantine.recordAnswered({"common"}, "", m_time.now());
+    EXPECT_FALSE(isQuarantined("common"));
+    ASSERT_TRUE(m_quarantine.reportDueAt());
+    EXPECT_GE(*m_quarantine.reportDueAt(), m_time.now() + seconds(2));
+    m_time.advance(seconds(1));
+    m_quarantine.merge({{}, {{"common", milliseconds(900)}}}, report_origin::otherHost,
+                       m_time.now());
+    m_time.advance(seconds(1) + milliseconds(100));
+    EXPECT_FALSE(m_quarantine.takeReport(m_time.now()));
+    EXPECT_FALSE(isQuarantined("common"));
+}
+
 TEST_F(segment_quarantine_fixture, instances_lost_together_are_no_evidence)
 {
     const time_point sentAt = m_time.now();
@@ -166,6 +269,7 @@
         const std::string instance = "i" + std::to_string(i);
         m_quarantine.recordUnansweredSend({instance, "r" + instance, {"common"}, {}}, m_time.now());
         m_quarantine.recordConnectionLost(instance, sentAt, m_time.now());
+        m_quarantine.recordConnectionRefused(instance, m_time.now());
     }
     EXPECT_FALSE(isQuarantined("common"));
     EXPECT_TRUE(m_quarantine.makeReport(m_time.now()).suspects.empty());
@@ -212,6 +316,7 @@
     m_time.advance(milliseconds(20));
     other.recordUnansweredSend({"i3", "r3", {"common", "deadly"}, {}}, m_time.now());
     other.recordConnectionLost("i3", sentAt, m_time.now());
+    other.recordConnectionRefused("i3", m_time.now());
     EXPECT_TRUE(other.find({"deadly"}, "", m_time.now()));
     // Reports of other hosts are not repeated, those of an earlier process are.
     EXPECT_EQ(1U, other.makeReport(m_time.now()).suspects.size());
@@ -283,6 +388,7 @@
             ++nextInstance;
             host.recordUnansweredSend({instance, request, segments, {}}, time.now());
             host.recordConnectionLost(instance, sentAt, time.now());
+            host.recordConnectionRefused(instance, time.now());
             crashes.push_back({instance, request, segments, time.now()});
         } else {
             host.recordResponseBytes(instance, time.now());
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -59,6 +59,10 @@
 /// instance that ranks first for it.
 constexpr double remotelyCachedFraction = 0.5;
 
+/// Longest time for which this host waits for another one to report an answer that clears a prompt
+/// segment; a few times what a report takes to reach the other hosts.
+constexpr std::chrono::milliseconds maxAnswerDelay{3000};
+
 } // namespace
 
 traffic_state::traffic_state(const router_settings &settings, std::uint64_t seed)
@@ -67,6 +71,7 @@
     , m_prefixIndex(promptCacheLifetime)
     , m_quarantine(quarantine_parameters())
     , m_rateLimits(settings.name, seed)
+    , m_answerDraw(draw())
 { }
 
 void traffic_state::setSettings(const router_settings &settings)
@@ -92,6 +97,7 @@
             && meter->second.first == order.previousRevision)
             meter->second.first = order.revision;
     }
+    m_quarantine.setAnswerDelay(suppressionDelay(m_answerDraw, view->fleetSize, maxAnswerDelay));
     m_rateLimits.setHosts(view->hosts, view->fleetSize);
     for (const auto &entry : view->rateLimits) {
         if (!m_view || !isKnown(m_view->rateLimits, entry))
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -198,6 +198,7 @@
     prompt_prefix_index m_prefixIndex;
     segment_quarantine m_quarantine;
     instance_rate_limits m_rateLimits;
+    double m_answerDraw; ///< Determines how long this host waits before it reports an answer.
     time_point m_lastSweepAt;
 };
 
