Reports of a host share one lease and a rate that does not grow with the fleet

Cause: each report was two calls, a lease and the value, repeated at every poll while one waited; nothing bounded what all hosts write together. Change: report_publisher writes crash reports and limits: one lease a host, renewed when older than a minute, what waits in one transaction, and 100 transactions a second for the whole fleet. A report is taken for as old as the previous contact, so that answers that came after a crash are not held for older than it. store_follower only says what to write. Tallies and session lists of roll-outs still write by themselves.

--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -55,12 +55,6 @@
 constexpr const char *hostsPrefix = "hosts/";
 constexpr const char *crashesPrefix = "crashes/";
 constexpr const char *limitsPrefix = "limits/";
-/// Lifetime of a report on the limit of an instance. An instance that still names it then tells
-/// hosts anew.
-constexpr std::chrono::milliseconds rateLimitLifetime{600'000};
-/// Number of reports written in one transaction; the service accepts 32 writes.
-constexpr std::size_t maxWrittenRateLimits = 32;
-
 bool startsWith(const std::string &text, const std::string &prefix)
 {
     return text.compare(0, prefix.size(), prefix) == 0;
@@ -93,6 +87,7 @@
                      encodeRegisteredHost(m_self))
     , m_instances(rejoinGracePeriod)
     , m_rollouts(settings.name, rolloutParameters(settings))
+    , m_publisher(m_store, time, report_parameters())
 {
     m_epoch.setListener([this](std::uint64_t previous) { onStoreRestored(previous); });
 }
@@ -100,6 +95,7 @@
 void store_follower::start()
 {
     m_lastContact = m_clock.now();
+    m_previousContact = m_lastContact;
     poll();
 }
 
@@ -109,6 +105,7 @@
     m_timer.cancel();
     m_departureTimer.cancel();
     m_registration.stop();
+    m_publisher.stop();
 }
 
 void store_follower::startDraining()
@@ -506,10 +503,11 @@
     for (const auto &entry : m_hosts)
         m_unseenHosts.insert(entry.first);
     m_crashReportRevisions.clear();
-    if (!m_unwrittenCrashReport)
-        m_unwrittenCrashReport = m_lastCrashReport;
+    m_publisher.handleRestoredStore();
+    if (m_lastCrashReport)
+        writeCrashReport();
     for (const auto &entry : m_ownRateLimits)
-        m_unwrittenRateLimits.insert(entry);
+        writeRateLimit(entry.second);
     if (m_registrationStarted)
         m_registration.restart(std::chrono::duration_cast<std::chrono::milliseconds>(
             registrationSpread * sessionPosition("", "", m_settings.name)));
@@ -548,7 +546,7 @@
     }
     if (m_afterOutage)
         m_instances.startRejoinGracePeriod(now);
-    m_lastContact = sentAt;
+    m_previousContact = std::exchange(m_lastContact, sentAt);
     m_onConfirmed(sentAt);
 }
 
@@ -585,8 +583,8 @@
     if (m_reconcileUntil && *m_reconcileUntil <= m_clock.now())
         finishReconciliation();
     advanceRollouts();
-    writeCrashReport();
-    writeRateLimits();
+    m_publisher.setFleetSize(m_fleetSize);
+    m_publisher.flush();
     if (m_dirty)
         publish();
     const auto callbacks = std::move(m_confirmCallbacks);
@@ -794,7 +792,9 @@
     received_crash_report received;
     received.report = decodeCrashReport(item.value);
     received.origin = isOwn ? report_origin::earlierProcess : report_origin::otherHost;
-    received.receivedAt = m_clock.now();
+    // It may have been written at any time since the previous contact. Taking it for too young
+    // would make answers that came after the crash look older than it.
+    received.receivedAt = m_previousContact;
     logEvent(log_level::info, "crash_report_read",
              {{"host", host},
               {"suspects", std::to_string(received.report.suspects.size())},
@@ -806,7 +806,6 @@
 
 void store_follower::publishCrashReport(const crash_report &report)
 {
-    m_unwrittenCrashReport = report;
     m_lastCrashReport = report;
     m_crashReportMadeAt = m_clock.now();
     writeCrashReport();
@@ -814,11 +813,7 @@
 
 void store_follower::writeCrashReport()
 {
-    if (!m_unwrittenCrashReport || m_writingCrashReport || m_stopped)
-        return;
-    m_writingCrashReport = true;
-    const crash_report report = *std::exchange(m_unwrittenCrashReport, std::nullopt);
-    const auto makeWrites = [this, report, madeAt = m_crashReportMadeAt] {
+    const auto encode = [this, report = *m_lastCrashReport, madeAt = m_crashReportMadeAt] {
         const auto delay
             = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - madeAt);
         crash_report aged = report;
@@ -826,38 +821,16 @@
             suspect.age += delay;
         for (answered_segment &answered : aged.answered)
             answered.age += delay;
-        return std::vector<kv_item>{{m_layout.internalPrefix + crashesPrefix + m_settings.name,
-                                     encodeCrashReport(aged), 0}};
+        return encodeCrashReport(aged);
     };
-    writeExpiring(quarantine_parameters().lifetime, makeWrites, [this, report](kv_outcome outcome) {
-        m_writingCrashReport = false;
-        logEvent(log_level::info, "crash_report_written",
-                 {{"suspects", std::to_string(report.suspects.size())},
-                  {"answered", std::to_string(report.answered.size())},
-                  {"outcome", toString(outcome)}});
-        // The next poll repeats the call, unless there is a newer report by then.
-        if (outcome != kv_outcome::done && !m_unwrittenCrashReport)
-            m_unwrittenCrashReport = report;
-    });
-}
-
-void store_follower::writeExpiring(std::chrono::milliseconds lifetime,
-                                   std::function<std::vector<kv_item>()> makeWrites,
-                                   std::function<void(kv_outcome)> done)
-{
-    m_store.grantLease(
-        lifetime,
-        [this, makeWrites = std::move(makeWrites), done = std::move(done)](std::uint64_t lease) {
-            if (lease == 0) {
-                done(kv_outcome::refused);
-                return;
-            }
-            kv_transaction transaction;
-            transaction.writes = makeWrites();
-            transaction.lease = lease;
-            m_store.transact(transaction,
-                             [done](const kv_transaction_result &result) { done(result.outcome); });
-        });
+    m_publisher.publish(m_layout.internalPrefix + crashesPrefix + m_settings.name, encode,
+                        [suspects = m_lastCrashReport->suspects.size(),
+                         answered = m_lastCrashReport->answered.size()](kv_outcome outcome) {
+                            logEvent(log_level::info, "crash_report_written",
+                                     {{"suspects", std::to_string(suspects)},
+                                      {"answered", std::to_string(answered)},
+                                      {"outcome", toString(outcome)}});
+                        });
 }
 
 bool store_follower::isKnown(const rate_limit_report &report) const
@@ -884,47 +857,25 @@
 
 void store_follower::publishRateLimit(const rate_limit_report &report)
 {
-    m_unwrittenRateLimits[report.incarnation] = report;
-    writeRateLimits();
+    if (!isKnown(report) || m_ownRateLimits.count(report.incarnation) > 0)
+        writeRateLimit(report);
+    else
+        m_publisher.withdraw(m_layout.internalPrefix + limitsPrefix + report.incarnation);
 }
 
-void store_follower::writeRateLimits()
+void store_follower::writeRateLimit(const rate_limit_report &report)
 {
-    if (m_writingRateLimits || m_stopped)
-        return;
-    std::vector<rate_limit_report> reports;
-    std::vector<kv_item> writes;
-    for (auto i = m_unwrittenRateLimits.begin();
-         i != m_unwrittenRateLimits.end() && reports.size() < maxWrittenRateLimits;
-         i = m_unwrittenRateLimits.erase(i)) {
-        if (isKnown(i->second) && m_ownRateLimits.count(i->first) == 0)
-            continue;
-        reports.push_back(i->second);
-        writes.push_back(
-            {m_layout.internalPrefix + limitsPrefix + i->first, encodeRateLimit(i->second), 0});
-    }
-    if (reports.empty())
-        return;
-    m_writingRateLimits = true;
-    writeExpiring(
-        rateLimitLifetime, [writes] { return writes; },
-        [this, reports](kv_outcome outcome) {
-            m_writingRateLimits = false;
-            logEvent(
-                log_level::info, "instance_limits_written",
-                {{"instances", std::to_string(reports.size())}, {"outcome", toString(outcome)}});
-            for (const rate_limit_report &report : reports) {
-                if (outcome == kv_outcome::done) {
-                    m_ownRateLimits[report.incarnation] = report;
-                    m_rateLimits[report.incarnation] = std::make_shared<const received_rate_limit>(
-                        received_rate_limit{report, m_clock.now()});
-                } else {
-                    // The next poll repeats the call, unless there is a newer report by then.
-                    m_unwrittenRateLimits.emplace(report.incarnation, report);
-                }
-            }
-            if (outcome == kv_outcome::done)
-                writeRateLimits();
+    m_publisher.publish(
+        m_layout.internalPrefix + limitsPrefix + report.incarnation,
+        [report] { return encodeRateLimit(report); },
+        [this, report](kv_outcome outcome) {
+            logEvent(log_level::info, "instance_limit_written",
+                     {{"instance", report.incarnation}, {"outcome", toString(outcome)}});
+            if (outcome != kv_outcome::done)
+                return;
+            m_ownRateLimits[report.incarnation] = report;
+            m_rateLimits[report.incarnation] = std::make_shared<const received_rate_limit>(
+                received_rate_limit{report, m_clock.now()});
         });
 }
 
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -29,6 +29,7 @@
 #include "goldcrestdeck/host_registration.h"
 #include "goldcrestdeck/json.h"
 #include "goldcrestdeck/one_shot_timer.h"
+#include "goldcrestdeck/report_publisher.h"
 #include "goldcrestdeck/rollout_member.h"
 #include "goldcrestdeck/router_settings.h"
 #include "goldcrestdeck/routing_view.h"
@@ -148,14 +149,9 @@
     void applyCrashReport(const std::string &host, const kv_item &item);
     void writeCrashReport();
     void applyRateLimit(const std::string &incarnation, const kv_item &item);
-    void writeRateLimits();
+    void writeRateLimit(const rate_limit_report &report);
     /// Whether the latest report of any host says the same.
     bool isKnown(const rate_limit_report &report) const;
-    /// Writes keys that expire after \a lifetime. \a makeWrites is called once the service has
-    /// granted the lease.
-    void writeExpiring(std::chrono::milliseconds lifetime,
-                       std::function<std::vector<kv_item>()> makeWrites,
-                       std::function<void(kv_outcome)> done);
     void advanceRollouts();
     void writeRecord(const record_write &write);
     void publishTally(const rollout_order &order, const version_tally &tally);
@@ -215,7 +211,9 @@
     time_point m_pollSentAt;  ///< When the latest poll began.
     time_point m_nextPollAt;  ///< If none is in progress.
     time_point m_lastContact; ///< When the latest successful call to the service was sent.
-    time_point m_lastChange;  ///< Last arrival of a change, a host's reply or a full read.
+    /// When the one before it was sent: what the latest one reports has happened since.
+    time_point m_previousContact;
+    time_point m_lastChange; ///< Last arrival of a change, a host's reply or a full read.
     /// Of calls of confirm() that the poll in progress serves.
     std::vector<std::function<void(bool)>> m_confirmCallbacks;
     /// Of calls of confirm() made while a poll was in progress; the next poll serves them.
@@ -230,15 +228,12 @@
     /// By host.
     std::map<std::string, std::shared_ptr<const received_crash_report>> m_crashReports;
     std::map<std::string, std::uint64_t> m_crashReportRevisions;
-    std::optional<crash_report> m_unwrittenCrashReport;
     std::optional<crash_report> m_lastCrashReport; ///< Made at m_crashReportMadeAt.
     time_point m_crashReportMadeAt;
-    bool m_writingCrashReport = false;
     /// By incarnation.
     std::map<std::string, std::shared_ptr<const received_rate_limit>> m_rateLimits;
-    std::map<std::string, rate_limit_report> m_unwrittenRateLimits; ///< By incarnation.
     std::map<std::string, rate_limit_report> m_ownRateLimits; ///< Latest reports, by this host.
-    bool m_writingRateLimits = false;
+    report_publisher m_publisher;
 };
 
 } // namespace goldcrestdeck
