A success that ends after its head without a byte of body is broken

Cause: such a body ends where the connection does, and an end before its first byte was taken for an empty body. Change: async_client takes a success without framing and without a byte of body for broken: the request is repeated, or 502. A head that is cut inside was broken before. Tests: forwarder_fixture.unframed_stream_that_ends_after_its_head_* and response_that_ends_in_its_head_* (every eleventh byte of the head, with and without length; at most once, idempotent, streams) failed before at the end of the unframed head, passed inside it. Also: the draw for reports of answers has a generator of its own, so that tests with seeds see the sequence of placements that they saw before (stream_whose_resumption_gets_an_error_* had failed since: of 100 streams none began at the instance that breaks off).

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -176,6 +176,7 @@
         m_headReported = false;
         m_isOwnResponse = true;
         m_receivedBytes = false;
+        m_receivedBody = false;
     }
 
     /// Limits the time to the end of the call, and to the next byte if the call has a limit on
@@ -271,8 +272,11 @@
 
     void onReadError(const error_code &error)
     {
-        // A body without Content-Length or chunks ends where the server closes the connection.
-        if (error == asio::error::eof && m_receivedBytes && m_isOwnResponse
+        // A body without Content-Length or chunks ends where the server closes the connection. A
+        // success without a byte of it is taken for one that was cut after its head.
+        const bool isCutAfterHead = !m_receivedBody && m_parser->is_header_done()
+            && m_parser->get().result_int() / 100 == 2;
+        if (error == asio::error::eof && m_receivedBytes && m_isOwnResponse && !isCutAfterHead
             && m_parser->is_header_done() && !m_parser->is_done()) {
             error_code eofError;
             m_parser->put_eof(eofError);
@@ -329,6 +333,7 @@
             return false;
         std::string body;
         body.swap(m_parser->get().body());
+        m_receivedBody = m_receivedBody || !body.empty();
         if (m_isOwnResponse && !body.empty())
             m_observer.onBody(std::move(body));
         if (!isActiveCall(callId))
@@ -417,9 +422,10 @@
     bool m_startedWriting = false;
     bool m_headReported = false;
     bool m_isOwnResponse = true;
-    bool m_isReused = false;     ///< The connection has carried an earlier request.
-    bool m_hasDiscarded = false; ///< A response that belonged to an earlier request has arrived.
-    bool m_receivedBytes = false;
+    bool m_isReused = false;      ///< The connection has carried an earlier request.
+    bool m_hasDiscarded = false;  ///< A response that belonged to an earlier request has arrived.
+    bool m_receivedBytes = false; ///< Of the current response, like the next one.
+    bool m_receivedBody = false;
     bool m_isHeadRequest = false;
 };
 
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -334,6 +334,45 @@
     }
 }
 
+TEST_F(forwarder_fixture, response_that_ends_in_its_head_is_never_delivered_as_a_success)
+{
+    const std::string stream = "X-Model: m\r\n";
+    for (const bool isUnframed : {false, true}) {
+        for (int bytes = 0; bytes < 110; bytes += 11) {
+            instance_faults ending;
+            ending.closeAfterHeadBytes = bytes;
+            ending.omitContentLength = isUnframed;
+            setFaults(ending);
+            const std::string id = std::to_string(bytes) + (isUnframed ? "u" : "f");
+            EXPECT_EQ(502U,
+                      sendRequest(requestText("POST", "/once/x", "o" + id, "", "{}")).result_int())
+                << id;
+            EXPECT_EQ(1, executionsOf("o" + id)) << id;
+            EXPECT_NE(200U, sendRequest(requestText("GET", "/safe/x", "s" + id)).result_int())
+                << id;
+            ending.events = 5;
+            setFaults(ending);
+            EXPECT_EQ(
+                502U,
+                sendRequest(requestText("POST", "/closed/x", "c" + id, stream, "{}")).result_int())
+                << id;
+        }
+    }
+}
+
+TEST_F(forwarder_fixture, unframed_stream_that_ends_after_its_head_is_not_delivered_as_a_success)
+{
+    instance_faults ending;
+    ending.closeAfterHeadBytes = 10'000;
+    ending.omitContentLength = true;
+    ending.events = 5;
+    setFaults(ending);
+    const std::string fields = "X-Model: m\r\n";
+    EXPECT_EQ(502U, sendRequest(requestText("POST", "/closed/x", "c", fields, "{}")).result_int());
+    EXPECT_NE(200U, sendRequest(requestText("POST", "/stream/x", "r", fields, "{}")).result_int());
+    EXPECT_GE(executionsOf("r"), 2);
+}
+
 TEST_F(forwarder_fixture, broken_stream_to_http_1_0_client_does_not_look_complete)
 {
     instance_faults ending;
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -63,6 +63,14 @@
 /// segment; a few times what a report takes to reach the other hosts.
 constexpr std::chrono::milliseconds maxAnswerDelay{3000};
 
+/// \returns a uniform random number in [0, 1) that no other draw from \a seed repeats.
+double drawOnce(std::uint64_t seed)
+{
+    std::seed_seq sequence{seed & 0xffffffffU, seed >> 32U, std::uint64_t{1}};
+    std::mt19937_64 random(sequence);
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 } // namespace
 
 traffic_state::traffic_state(const router_settings &settings, std::uint64_t seed)
@@ -71,7 +79,7 @@
     , m_prefixIndex(promptCacheLifetime)
     , m_quarantine(quarantine_parameters())
     , m_rateLimits(settings.name, seed)
-    , m_answerDraw(draw())
+    , m_answerDraw(drawOnce(seed))
 { }
 
 void traffic_state::setSettings(const router_settings &settings)
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -125,6 +125,16 @@
     if (faults.confidence >= 0)
         fields += "X-Confidence: " + std::to_string(isSmall ? faults.confidence : 100) + "\r\n";
     const std::string body = bodyFor(id);
+    if (faults.closeAfterHeadBytes >= 0) {
+        if (faults.events > 0)
+            fields += "Content-Type: text/event-stream\r\n";
+        if (!faults.omitContentLength)
+            fields += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        connection->write((responseHead(200, id, fields) + "\r\n")
+                              .substr(0, static_cast<std::size_t>(faults.closeAfterHeadBytes)));
+        connection->close();
+        return;
+    }
     if (faults.staleResponseFirst)
         connection->write(responseWithLength(200, "an-earlier-request",
                                              "X-Response-Seal: other\r\n", "other body"));
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -30,6 +30,7 @@
     bool silent = false;                        ///< Executes the request and never responds.
     bool resetBeforeResponse = false; ///< Executes the request, then resets the connection.
     bool truncateBody = false;        ///< Closes in the middle of the response body.
+    int closeAfterHeadBytes = -1;     ///< Closes after this many bytes of the head, or at its end.
     bool omitContentLength = false;   ///< No length or chunks: the body ends with the connection.
     bool resetAtEnd = false;          ///< With omitContentLength: resets instead of closing.
     bool duplicateResponse = false;   ///< Sends a second, unsolicited response.
