A weak suspicion does not make a good roll-out late; the writes of records log what they rest on

Cause: by the log, 9 of 100 answers were slow when the version had all requests, one kind of request more often, which is suspect by half of a verdict's share. Change: once the last stage has lasted as long as outcomes take to be known, only 0.65 of that share holds the order back. Every rollout_write logs the answers, failures and slow ones it rests on, and whether the version is suspect.

--- a/goldcrestdeck/rollout_member.cc
+++ b/goldcrestdeck/rollout_member.cc
@@ -268,7 +268,9 @@
     rollout_observation observation;
     observation.recordAge = std::chrono::duration_cast<std::chrono::milliseconds>(recordAge);
     observation.judgedBad = local.judgedBad;
-    observation.suspect = isSuspectVersion(candidate, local.baseline);
+    observation.suspect = isSuspectVersion(candidate, local.baseline, m_parameters.suspectFraction);
+    observation.stronglySuspect
+        = isSuspectVersion(candidate, local.baseline, m_parameters.lateSuspectFraction);
     observation.outcomes = local.candidateOutcomes;
     observation.instances = instances;
     observation.writeJitter = sessionPosition(order.service, order.target, m_host);
@@ -278,7 +280,8 @@
         actions.recordWrites.push_back({order, current.revision, *next,
                                         local.judgedBad                           ? "judged_bad"
                                             : next->stage == current.record.stage ? "progress"
-                                                                                  : "due"});
+                                                                                  : "due",
+                                        candidate.total(), observation.suspect});
     } else if (!next && local.unreportedBadOutcomes > 0
                && now - local.tallyReportedAt > tallyReportInterval) {
         local.unreportedBadOutcomes = 0;
--- a/goldcrestdeck/rollout_member.h
+++ b/goldcrestdeck/rollout_member.h
@@ -40,7 +40,9 @@
     rollout_order order;
     std::uint64_t expectedRevision = 0; ///< 0 if the record must not exist yet.
     rollout_record record;
-    std::string reason; ///< For the log.
+    std::string reason;      ///< For the log, as are the following.
+    outcome_tally candidate; ///< Of all hosts that are known here.
+    bool suspect = false;
 };
 
 /// An order whose version has just been judged bad, and the tallies that the verdict rests on.
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -942,7 +942,11 @@
              {{"service", service},
               {"stage", toString(write.record.stage)},
               {"elapsed_ms", std::to_string(write.record.elapsed.count())},
-              {"reason", write.reason}});
+              {"reason", write.reason},
+              {"answers", std::to_string(write.candidate.outcomes)},
+              {"failures", std::to_string(write.candidate.failures)},
+              {"slow", std::to_string(write.candidate.slow)},
+              {"suspect", write.suspect ? "yes" : "no"}});
     m_store.transact(transaction, [this, key, write](const kv_transaction_result &result) {
         const std::string &service = write.order.service;
         m_rollouts.finishWrite(service, result.outcome == kv_outcome::conflict, m_clock.now());
--- a/goldcrestdeck/version_rollout.cc
+++ b/goldcrestdeck/version_rollout.cc
@@ -31,10 +31,8 @@
 /// Weight, in outcomes, of the prior on the baseline version's share of bad outcomes.
 constexpr double priorOutcomes = 20;
 
-/// Bad outcomes from which on, and fraction of the share of bad outcomes above which, a version is
-/// suspect.
+/// Bad outcomes from which on a version is suspect.
 constexpr double minSuspectOutcomes = 2;
-constexpr double suspectFraction = 0.5;
 
 /// Time between the last poll in which hosts exchange session lists and the start of the canary.
 constexpr std::chrono::milliseconds canaryStartMargin{200};
@@ -53,18 +51,20 @@
         && bad >= minBadRatio * baselineShare * candidate.outcomes;
 }
 
-bool isSuspect(const outcome_tally &candidate, const outcome_tally &baseline, double minShare)
+bool isSuspect(const outcome_tally &candidate, const outcome_tally &baseline, double minShare,
+               double fraction)
 {
-    const double bad = candidate.failures + candidate.slow;
+    const bool isSlow = candidate.slow >= fraction * minSlowShare * candidate.outcomes;
+    const double bad = candidate.failures + (isSlow ? candidate.slow : 0);
     const double baselineShare
         = (baseline.failures + baseline.slow) / (baseline.outcomes + priorOutcomes);
-    return bad >= minSuspectOutcomes && bad >= suspectFraction * minShare * candidate.outcomes
+    return bad >= minSuspectOutcomes && bad >= fraction * minShare * candidate.outcomes
         && bad >= minBadRatio * baselineShare * candidate.outcomes;
 }
 
 /// Whether \a matches holds for all routes together, or for one of them.
-bool matchesAnyRoute(const version_tally &candidate, const version_tally &baseline,
-                     bool (*matches)(const outcome_tally &, const outcome_tally &, double))
+template<typename Match>
+bool matchesAnyRoute(const version_tally &candidate, const version_tally &baseline, Match matches)
 {
     if (matches(candidate.total(), baseline.total(), minBadShare))
         return true;
@@ -254,9 +254,14 @@
     return matchesAnyRoute(candidate, baseline, isBad);
 }
 
-bool isSuspectVersion(const version_tally &candidate, const version_tally &baseline)
+bool isSuspectVersion(const version_tally &candidate, const version_tally &baseline,
+                      double fraction)
 {
-    return matchesAnyRoute(candidate, baseline, isSuspect);
+    return matchesAnyRoute(
+        candidate, baseline,
+        [fraction](const outcome_tally &tally, const outcome_tally &other, double minShare) {
+            return isSuspect(tally, other, minShare, fraction);
+        });
 }
 
 std::optional<rollout_record> nextRecord(const rollout_record &current, const rollout_order &order,
@@ -288,7 +293,9 @@
         = elapsedFraction >= parameters.latestCompletionFraction && next.elapsed < order.duration;
     if (observation.instances == 0)
         return std::nullopt;
-    if (observation.suspect) {
+    const bool isHeld
+        = mustCompleteNow && isEvidenceComplete ? observation.stronglySuspect : observation.suspect;
+    if (isHeld) {
         if (recordAgeFraction < parameters.progressWriteFraction)
             return std::nullopt;
         return next;
--- a/goldcrestdeck/version_rollout.h
+++ b/goldcrestdeck/version_rollout.h
@@ -90,6 +90,11 @@
     /// latestCompletionFraction on.
     std::chrono::milliseconds evidenceTime{2500};
     double latestCompletionFraction = 0.93;
+    /// Fraction of the share of bad outcomes from which on a version is suspect; the second one
+    /// where only the completion in time is at stake. A version that has all requests responds more
+    /// slowly than one that shares them, so a good one is often suspect by the first.
+    double suspectFraction = 0.5;
+    double lateSuspectFraction = 0.65;
     /// Outcomes of the candidate that a host must have seen before it starts the ramp.
     double minOutcomes = 4;
     /// Fraction of the duration after which the elapsed time is written to the record again, so
@@ -142,17 +147,22 @@
 /// the baseline version has as well.
 bool isBadVersion(const version_tally &candidate, const version_tally &baseline);
 /// Whether the candidate has bad outcomes that may yet lead to a verdict: more of them would make
-/// isBadVersion() true. A rollout does not advance until that is settled.
-bool isSuspectVersion(const version_tally &candidate, const version_tally &baseline);
+/// isBadVersion() true. A rollout does not advance until that is settled. \a fraction is that of
+/// the share of bad outcomes which a verdict requires.
+bool isSuspectVersion(const version_tally &candidate, const version_tally &baseline,
+                      double fraction);
 
 /// What a host has observed of a rollout; input of nextRecord().
 struct rollout_observation {
     std::chrono::milliseconds recordAge{0}; ///< Time since the current record was read.
     bool judgedBad = false;                 ///< The host judged the candidate bad.
-    bool suspect = false;                   ///< isSuspectVersion() for what the host knows.
-    double outcomes = 0;                    ///< Outcomes of the candidate on this host.
-    std::size_t instances = 0;              ///< Usable instances of the candidate.
-    double writeJitter = 0; ///< 0 to 1, by host: the fraction of writeSpreadFraction to wait.
+    /// isSuspectVersion() for what the host knows, with suspectFraction and with
+    /// lateSuspectFraction.
+    bool suspect = false;
+    bool stronglySuspect = false;
+    double outcomes = 0;       ///< Outcomes of the candidate on this host.
+    std::size_t instances = 0; ///< Usable instances of the candidate.
+    double writeJitter = 0;    ///< 0 to 1, by host: the fraction of writeSpreadFraction to wait.
 };
 
 /// \returns the record to write after \a current, or nothing if no write is due.
