A request whose timeout falls on the exit of a stopping host is refused

Cause (by reading): behind the balancer's lag a request is accepted if its timeout ends before the process does, with no time between them, so that a response made on the timeout is written while the process exits.

--- a/goldcrestdeck/testing/router_core_test.cc
+++ b/goldcrestdeck/testing/router_core_test.cc
@@ -258,6 +258,19 @@
     EXPECT_FALSE(acceptsWhileDraining(times, milliseconds(600), time.now()));
 }
 
+TEST(drain_policy, requests_whose_timeout_falls_on_the_exit_are_refused)
+{
+    manual_clock time;
+    drain_schedule times;
+    times.started = time.now();
+    const milliseconds timeout(600);
+    // A response made on the timeout would be written while the process exits.
+    time.advance(times.exitDelay - timeout);
+    EXPECT_FALSE(acceptsWhileDraining(times, timeout, time.now()));
+    time.advance(-milliseconds(300));
+    EXPECT_TRUE(acceptsWhileDraining(times, timeout, time.now()));
+}
+
 cascade_state lowConfidenceState()
 {
     cascade_state state;
