An answer is told to other hosts one crash before its segment would be in quarantine

Callers saw: nothing yet; the model: a host that had not answered a shared segment itself refused it for a round of reports. Cause: since an answer was told only once the reports put its segment in quarantine; the next crash may be seen first.

--- a/goldcrestdeck/segment_quarantine.cc
+++ b/goldcrestdeck/segment_quarantine.cc
@@ -352,15 +352,12 @@
                                       time_point after) const
 {
     std::set<std::string> instances;
-    std::set<std::string> requests;
     for (const sighting &seen : sightings) {
-        if (seen.at <= after)
-            continue;
-        instances.insert(seen.instance);
-        requests.insert(seen.request);
+        if (seen.at > after)
+            instances.insert(seen.instance);
     }
-    return instances.size() >= m_parameters.minCrashes
-        && requests.size() >= m_parameters.minRequests;
+    // One crash fewer than a quarantine needs: the next one may be seen before the answer is told.
+    return instances.size() + 1 >= m_parameters.minCrashes;
 }
 
 bool segment_quarantine::isAnswerNeeded(const std::vector<sighting> &sightings,
