Tests that fail: instances that say in their responses that they leave get requests

Cause: no code reads the response field with which an instance says that it leaves. Measured: 22 of 40 requests reach an instance whose first response said that it leaves (allowed: that one). Two tests pass before: refusals are avoided for 150 ms anyway, and a successor is another incarnation.

--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -1025,5 +1025,88 @@
     EXPECT_LE(connections, 2U);
 }
 
+/// A service "leaver" at /leaver/ with two instances, the first of which says that it leaves.
+class leaving_instance_fixture : public router_fixture
+{
+protected:
+    static constexpr int requestCount = 40;
+
+    leaving_instance_fixture()
+    {
+        route leaverRoute = m_config.routes[0];
+        leaverRoute.name = "/leaver/";
+        leaverRoute.prefix = "/leaver/";
+        leaverRoute.services = {{"leaver", 1}};
+        m_config.routes.push_back(leaverRoute);
+        m_leaver = &addInstance("leaver", "leaver-1");
+        addInstance("leaver", "leaver-2");
+        publish();
+    }
+
+    /// \returns the number of requests that the leaving instance gets, of requestCount.
+    std::size_t requestsToLeaver(const instance_faults &faults)
+    {
+        onLoop([&] { m_leaver->setFaults(faults); });
+        for (int i = 0; i < requestCount; ++i)
+            sendRequest(requestText("GET", "/leaver/x", "r" + std::to_string(i)));
+        return onLoop([&] { return m_leaver->requests().size(); });
+    }
+
+    platform_instance *m_leaver = nullptr;
+};
+
+TEST_F(leaving_instance_fixture, instance_whose_response_says_that_it_leaves_gets_no_more_requests)
+{
+    instance_faults faults;
+    faults.leaving = true;
+    EXPECT_EQ(1U, requestsToLeaver(faults));
+}
+
+TEST_F(leaving_instance_fixture, instance_whose_refusal_says_that_it_leaves_gets_no_more_requests)
+{
+    instance_faults faults;
+    faults.leaving = true;
+    faults.rejectUnexecuted = true;
+    EXPECT_EQ(1U, requestsToLeaver(faults));
+}
+
+TEST_F(leaving_instance_fixture,
+       instance_that_has_said_that_it_leaves_stays_unused_when_the_view_is_renewed)
+{
+    instance_faults faults;
+    faults.leaving = true;
+    requestsToLeaver(faults);
+    publish();
+    EXPECT_EQ(1U, requestsToLeaver(instance_faults()));
+}
+
+TEST_F(leaving_instance_fixture, request_is_refused_as_not_run_when_all_instances_leave)
+{
+    instance_faults faults;
+    faults.leaving = true;
+    setFaults(faults);
+    for (int i = 0; i < requestCount; ++i)
+        sendRequest(requestText("GET", "/leaver/x", "first-" + std::to_string(i)));
+    const http1_response response = sendRequest(requestText("GET", "/leaver/x", "last"));
+    EXPECT_EQ(503, response.result_int());
+    EXPECT_FALSE(response["Retry-After"].empty());
+    EXPECT_EQ(0, executionsOf("last"));
+}
+
+TEST_F(leaving_instance_fixture, successor_of_an_instance_that_left_is_used)
+{
+    instance_faults faults;
+    faults.leaving = true;
+    requestsToLeaver(faults);
+    const std::size_t before = requestsReceived();
+    onLoop([&] { m_leaver->setFaults(instance_faults()); });
+    // Another process with the same id at the same address.
+    for (instance &entry : m_instances["leaver"])
+        entry.startedMs += 1;
+    publish();
+    EXPECT_LT(1U, requestsToLeaver(instance_faults()));
+    EXPECT_LT(before, requestsReceived());
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -25,9 +25,15 @@
         + "\r\n\r\n" + body;
 }
 
-std::string limitField(const instance_faults &faults)
+/// The fields in which an instance tells its state, in refusals too.
+std::string stateFields(const instance_faults &faults)
 {
-    return faults.rateLimit.empty() ? "" : "Server-Limit: " + faults.rateLimit + "\r\n";
+    std::string fields;
+    if (!faults.rateLimit.empty())
+        fields += "Server-Limit: " + faults.rateLimit + "\r\n";
+    if (faults.leaving)
+        fields += "Server-Leaving: 1\r\n";
+    return fields;
 }
 
 } // namespace
@@ -75,7 +81,7 @@
         connection->write(m_refusal);
     if (faults.rejectUnexecuted) {
         connection->write(
-            responseWithLength(503, id, limitField(faults) + "X-Not-Executed: 1\r\n", ""));
+            responseWithLength(503, id, stateFields(faults) + "X-Not-Executed: 1\r\n", ""));
         return;
     }
     ++m_executions[id];
@@ -118,7 +124,7 @@
         m_server.crash();
         return;
     }
-    std::string fields = limitField(faults);
+    std::string fields = stateFields(faults);
     if (!faults.omitSeal)
         fields += "X-Response-Seal: seal-" + m_id + "-" + id + "\r\n";
     const bool isSmall = request["X-Model"] == "small";
