An instance that says in a response that it leaves gets no more requests

Cause: departures were learned from the store and from other hosts alone; no code read the response field. A host cut off from both keeps its old view. Change: the field is decoded at the boundary; traffic_state keeps the incarnations that have said so and never chooses them again, first sends, retries, resumes and upgrades alike. A successor at the address has another incarnation. Conclusion: fixed for each host by itself; hosts do not tell each other (the instance's own registration does).

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -520,6 +520,7 @@
         m_metadata = m_dependencies.wire.decodeResponse(head);
         m_mode = response_mode::buffered;
         recordRateLimit();
+        recordLeaving();
         if (m_metadata.notExecuted)
             return;
         handleResponseBegun();
@@ -572,6 +573,19 @@
         m_dependencies.reportRateLimit({incarnation, m_metadata.rateLimit});
     }
 
+    /// Records that the instance says in its response that it leaves.
+    void recordLeaving()
+    {
+        if (!m_metadata.leaving || m_metadata.wrongInstance)
+            return;
+        const std::string incarnation = m_chosen.target.incarnation();
+        if (m_state.recordLeaving(incarnation, now()))
+            logEvent(log_level::info, "instance_leaving",
+                     {{"request", m_request.id},
+                      {"instance", incarnation},
+                      {"view_age_ms", formatMilliseconds(now() - m_state.confirmedAt())}});
+    }
+
     void handleResponseBegun()
     {
         m_responseBegun = true;
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds maxRolloutViewAge{2500};
 /// Time for which an instance is expected to keep a prompt in its cache.
 constexpr std::chrono::milliseconds promptCacheLifetime{20'000};
+/// Time for which it is remembered that an instance leaves: longer than an outage of the registry
+/// may show it as ready.
+constexpr std::chrono::minutes leavingMemory{30};
 /// Interval between removals of expired state.
 constexpr std::chrono::milliseconds sweepInterval{1000};
 /// A response is slow if its latency exceeds slowRatio times that of the baseline version by
@@ -368,6 +371,11 @@
         slowIntervalRatio * known->second.quantile(intervalQuantile) + slowIntervalSeconds));
 }
 
+bool traffic_state::recordLeaving(const std::string &incarnation, time_point now)
+{
+    return m_leaving.emplace(incarnation, now).second;
+}
+
 std::vector<std::uint64_t> traffic_state::baselineSessions(const rollout_order &order,
                                                            time_point now) const
 {
@@ -405,7 +413,8 @@
         return usable;
     for (const instance &entry : found->second) {
         const bool isCandidate = entry.version == target;
-        if (!entry.draining && (anyVersion || isCandidate == (side == version_side::candidate)))
+        if (!entry.draining && m_leaving.count(entry.incarnation()) == 0
+            && (anyVersion || isCandidate == (side == version_side::candidate)))
             usable.push_back(&entry);
     }
     return usable;
@@ -456,7 +465,7 @@
     if (found == m_view->instances.end())
         return earliest;
     for (const instance &entry : found->second) {
-        if (entry.draining)
+        if (entry.draining || m_leaving.count(entry.incarnation()) > 0)
             continue;
         const auto next = m_rateLimits.nextSendAt(entry.incarnation(), now);
         if (next && (!earliest || *next < *earliest))
@@ -557,6 +566,8 @@
             known.insert(entry.incarnation());
     }
     m_rateLimits.retain(known);
+    for (auto i = m_leaving.begin(); i != m_leaving.end();)
+        i = now - i->second > leavingMemory ? m_leaving.erase(i) : std::next(i);
     for (auto i = m_instances.begin(); i != m_instances.end();)
         i = i->second.inFlight == 0 && known.count(i->first) == 0 ? m_instances.erase(i)
                                                                   : std::next(i);
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -127,6 +127,11 @@
     std::optional<duration> slowEventInterval(const std::string &route,
                                               const std::string &model) const;
 
+    /// Records that the instance has said that it is about to stop. It is not chosen any more, even
+    /// if the registry, which this host may be cut off from, goes on showing it as ready.
+    /// \returns whether this is news.
+    bool recordLeaving(const std::string &incarnation, time_point now);
+
     /// Digests of the sessions within the canary share of \a order that this host has recently
     /// routed to the baseline version.
     std::vector<std::uint64_t> baselineSessions(const rollout_order &order, time_point now) const;
@@ -198,6 +203,8 @@
     prompt_prefix_index m_prefixIndex;
     segment_quarantine m_quarantine;
     instance_rate_limits m_rateLimits;
+    /// Incarnations that have said that they leave, with the time at which they did.
+    std::map<std::string, time_point> m_leaving;
     double m_answerDraw; ///< Determines how long this host waits before it reports an answer.
     time_point m_lastSweepAt;
 };
--- a/goldcrestdeck/wire_format.h
+++ b/goldcrestdeck/wire_format.h
@@ -67,6 +67,7 @@
     /// responses say so.
     std::optional<double> rateLimit;
     std::optional<std::string> malformedRateLimit; ///< The field's text if it is not a number.
+    bool leaving = false; ///< The instance is about to stop and wants no more requests.
 };
 
 struct wire_format {
