Hosts register an address at which they will take requests of other hosts

Cause: nothing passes a request from one host to another, so that a host that reaches no instance can only refuse. The forwarder is told where a request comes from and makes no use of it yet.

--- a/goldcrestdeck/feed_cache.cc
+++ b/goldcrestdeck/feed_cache.cc
@@ -135,8 +135,8 @@
 
 bool operator==(const registered_host &a, const registered_host &b)
 {
-    return std::tie(a.name, a.address, a.failureDomain)
-        == std::tie(b.name, b.address, b.failureDomain);
+    return std::tie(a.name, a.address, a.failureDomain, a.handoverAddress)
+        == std::tie(b.name, b.address, b.failureDomain, b.handoverAddress);
 }
 
 std::string encodeRegisteredHost(const registered_host &host)
@@ -144,15 +144,22 @@
     json_value document = json_value::object();
     document.set("address", host.address);
     document.set("failure_domain", host.failureDomain);
+    if (!host.handoverAddress.empty())
+        document.set("handover_address", host.handoverAddress);
     return document.dump();
 }
 
 registered_host decodeRegisteredHost(const std::string &name, const std::string &text)
 {
     const json_value document = json_value::parse(text);
-    registered_host host{name, document.string("address"), document.string("failure_domain")};
+    registered_host host{name, document.string("address"), document.string("failure_domain"), ""};
+    // Hosts of an earlier release have none.
+    if (document.has("handover_address"))
+        host.handoverAddress = document.string("handover_address");
     try {
         parseEndpoint(host.address);
+        if (!host.handoverAddress.empty())
+            parseEndpoint(host.handoverAddress);
     } catch (const peer_error &error) {
         throw json_error(error.what());
     }
--- a/goldcrestdeck/feed_cache.h
+++ b/goldcrestdeck/feed_cache.h
@@ -82,6 +82,8 @@
     std::string name;
     std::string address; ///< "ip:port" on which other hosts reach it.
     std::string failureDomain;
+    /// "ip:port" on which it takes requests that other hosts hand over; empty if it takes none.
+    std::string handoverAddress;
 };
 
 bool operator==(const registered_host &a, const registered_host &b);
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -1120,7 +1120,8 @@
 
 forwarder::~forwarder() = default;
 
-void forwarder::handle(http1_request request, std::shared_ptr<response_writer> writer)
+void forwarder::handle(http1_request request, std::shared_ptr<response_writer> writer,
+                       request_origin)
 {
     try {
         client_request decoded = m_dependencies.wire.decodeRequest(std::move(request));
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -49,6 +49,12 @@
     std::function<void(const rate_limit_report &)> reportRateLimit;
 };
 
+/// Where a request comes from.
+enum class request_origin {
+    client,
+    host ///< Handed over by another host, which reaches no instance.
+};
+
 class forwarder
 {
 public:
@@ -57,7 +63,8 @@
     forwarder(const forwarder &) = delete;
     forwarder &operator=(const forwarder &) = delete;
 
-    void handle(http1_request request, std::shared_ptr<response_writer> writer);
+    void handle(http1_request request, std::shared_ptr<response_writer> writer,
+                request_origin origin = request_origin::client);
     /// To be called whenever traffic_state has a new view. Resumes requests that are waiting for
     /// the first configuration.
     void onViewUpdated();
--- a/goldcrestdeck/routing_view.h
+++ b/goldcrestdeck/routing_view.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "goldcrestdeck/feed_cache.h"
 #include "goldcrestdeck/instance_directory.h"
 #include "goldcrestdeck/rate_limit_report.h"
 #include "goldcrestdeck/routing_config.h"
@@ -59,6 +60,9 @@
     /// Names of the hosts that are registered now.
     std::shared_ptr<const std::set<std::string>> hosts
         = std::make_shared<const std::set<std::string>>();
+    /// The registered hosts, with their addresses.
+    std::shared_ptr<const std::vector<registered_host>> hostAddresses
+        = std::make_shared<const std::vector<registered_host>>();
     /// Number of hosts among which the bounds that hold for the whole fleet are divided.
     std::size_t fleetSize = minFleetSize;
 };
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -77,7 +77,7 @@
     , m_sessions(std::move(sessions))
     , m_timer(io.get_executor())
     , m_departureTimer(io.get_executor())
-    , m_self{settings.name, settings.peerAddress, settings.failureDomain}
+    , m_self{settings.name, settings.peerAddress, settings.failureDomain, settings.handoverAddress}
     , m_feedCache(
           maxDeletions,
           [this](const kv_item &known, const kv_item &next) { return isEquivalent(known, next); })
@@ -745,8 +745,10 @@
     if (startsWith(name, hostsPrefix)) {
         const std::string host = name.substr(std::string(hostsPrefix).size());
         m_unseenHosts.erase(host);
-        m_dirty = m_hosts.count(host) == 0 || m_dirty;
-        m_hosts[host] = decodeRegisteredHost(host, item.value);
+        const registered_host decoded = decodeRegisteredHost(host, item.value);
+        const auto known = m_hosts.find(host);
+        m_dirty = known == m_hosts.end() || !(known->second == decoded) || m_dirty;
+        m_hosts[host] = decoded;
         m_fleetSize = std::max(m_fleetSize, m_hosts.size());
         return;
     }
@@ -896,6 +898,13 @@
     if (!m_hostNames || *m_hostNames != names)
         m_hostNames = std::make_shared<const std::set<std::string>>(std::move(names));
     view->hosts = m_hostNames;
+    std::vector<registered_host> addresses;
+    for (const auto &entry : m_hosts)
+        addresses.push_back(entry.second);
+    if (!m_hostAddresses || *m_hostAddresses != addresses)
+        m_hostAddresses
+            = std::make_shared<const std::vector<registered_host>>(std::move(addresses));
+    view->hostAddresses = m_hostAddresses;
     m_onView(view);
 }
 
--- a/goldcrestdeck/store_follower.h
+++ b/goldcrestdeck/store_follower.h
@@ -180,6 +180,8 @@
     /// Hosts among m_hosts that a restored store has not shown yet.
     std::set<std::string> m_unseenHosts;
     std::shared_ptr<const std::set<std::string>> m_hostNames; ///< Of m_hosts, as last published.
+    /// The values of m_hosts, as last published.
+    std::shared_ptr<const std::vector<registered_host>> m_hostAddresses;
     /// The largest number of hosts known at once. It never decreases: registrations expire in an
     /// outage of the service while the hosts go on.
     std::size_t m_fleetSize = minFleetSize;
--- a/goldcrestdeck/testing/feed_cache_test.cc
+++ b/goldcrestdeck/testing/feed_cache_test.cc
@@ -261,7 +261,7 @@
 
 TEST(registered_host, unreadable_registrations_are_rejected)
 {
-    const registered_host host{"h", "10.0.0.1:7", "d"};
+    const registered_host host{"h", "10.0.0.1:7", "d", "10.0.0.1:8"};
     EXPECT_EQ(host, decodeRegisteredHost("h", encodeRegisteredHost(host)));
     for (const char *text : {"", "{}", R"({"address": "x", "failure_domain": "d"})",
                              R"({"address": "10.0.0.1:7"})", R"({"address": 3})"})
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -44,6 +44,8 @@
 /// Margin between the end of draining and the SIGKILL at the end of the stop timeout.
 constexpr std::chrono::milliseconds stopMargin{400};
 constexpr std::chrono::milliseconds gaugeUpdateInterval{2000};
+/// Size of the header fields that a host adds to a request that it hands over, with room to spare.
+constexpr std::size_t maxHandoverFieldBytes = 2048;
 
 std::int64_t modificationTime(const std::string &path)
 {
@@ -74,11 +76,12 @@
         , m_upstreamClient(m_trafficLoop, m_clock)
         , m_trafficState(m_settings, std::random_device()())
         , m_forwarder(forwarderDependencies())
+        , m_handoverServer(openHandoverServer())
         , m_storeFollower(
               m_controlLoop, m_clock,
               platform::bindStore(m_storeClient, m_clock, parseEndpoint(m_settings.storeAddress),
                                   m_storeEpoch),
-              m_storeEpoch, platform::storeLayout(), m_settings,
+              m_storeEpoch, platform::storeLayout(), registeredSettings(),
               [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
               [this](time_point sentAt) { onConfirmed(sentAt); },
               [this](const rollout_order &order, auto done) {
@@ -122,6 +125,37 @@
     }
 
 private:
+    /// Opens the listener for requests that other hosts hand over, on any port if another process
+    /// has the one of the settings.
+    std::unique_ptr<async_server> openHandoverServer()
+    {
+        const auto open = [this](const asio::ip::tcp::endpoint &address) {
+            return std::make_unique<async_server>(
+                m_trafficLoop, address, request_limits(),
+                [this](http1_request request, std::shared_ptr<response_writer> writer) {
+                    m_forwarder.handle(std::move(request), std::move(writer), request_origin::host);
+                });
+        };
+        const asio::ip::tcp::endpoint address = parseEndpoint(m_settings.handoverAddress);
+        try {
+            return open(address);
+        } catch (const boost::system::system_error &error) {
+            logEvent(log_level::warning, "handover_port_taken",
+                     {{"address", m_settings.handoverAddress}, {"error", error.what()}});
+            return open({address.address(), 0});
+        }
+    }
+
+    /// The settings with the address that the listener for handed-over requests has got.
+    router_settings registeredSettings() const
+    {
+        router_settings result = m_settings;
+        const asio::ip::tcp::endpoint address = m_handoverServer->address();
+        result.handoverAddress
+            = address.address().to_string() + ':' + std::to_string(address.port());
+        return result;
+    }
+
     forwarder_dependencies forwarderDependencies()
     {
         return {m_trafficLoop,
@@ -155,12 +189,20 @@
     {
         asio::post(m_trafficLoop, [this, view = std::move(view)] {
             if (view->config)
-                m_clientServer.setLimits(view->config->limits());
+                setRequestLimits(view->config->limits());
             m_trafficState.setView(view);
             m_forwarder.onViewUpdated();
         });
     }
 
+    void setRequestLimits(const request_limits &limits)
+    {
+        m_clientServer.setLimits(limits);
+        request_limits handoverLimits = limits;
+        handoverLimits.maxHeadBytes += maxHandoverFieldBytes;
+        m_handoverServer->setLimits(handoverLimits);
+    }
+
     /// \a sentAt is the time at which the latest successful call to the store was sent.
     void onConfirmed(time_point sentAt)
     {
@@ -239,6 +281,7 @@
             m_drainSchedule.exitDelay = m_settings.stopTimeout - stopMargin;
             m_forwarder.beginDraining(m_drainSchedule);
             m_clientServer.closeAfterResponses();
+            m_handoverServer->closeAfterResponses();
             pollDrain();
         });
     }
@@ -249,6 +292,8 @@
         if (passed >= m_drainSchedule.balancerLag) {
             m_clientServer.stopAccepting();
             m_clientServer.closeIdleConnections();
+            m_handoverServer->stopAccepting();
+            m_handoverServer->closeIdleConnections();
             if (m_forwarder.requestsInProgress() == 0 && m_clientServer.openConnections() == 0) {
                 finish("idle");
                 return;
@@ -306,6 +351,7 @@
     async_client m_upstreamClient;
     traffic_state m_trafficState;
     forwarder m_forwarder;
+    std::unique_ptr<async_server> m_handoverServer;
     store_epoch m_storeEpoch;
     store_follower m_storeFollower;
     async_server m_clientServer;
