Tests that fail: a host that reaches no instance serves nobody

Change: instance_relay cuts one host off from an instance in three ways; four hosts, eight instances, first tries counted at the host that is cut off and at another.

--- /dev/null
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -0,0 +1,319 @@
+#include <future>
+#include <map>
+
+#include "goldcrestdeck/testing/instance_relay.h"
+#include "goldcrestdeck/testing/router_harness.h"
+#include "platform/headers.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using standins::instance_faults;
+using standins::platform_instance;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string textOf(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
+/// A host with a relay of its own in front of each instance. Used on the event loop's thread.
+class relayed_host
+{
+public:
+    relayed_host(boost::asio::io_context &io, const clock &time, const std::string &name)
+        : m_io(io)
+        , m_client(io, time)
+        , m_state(settingsOf(name), std::hash<std::string>()(name))
+        , m_forwarder(forwarder_dependencies{
+              io, time, m_client, m_state, m_metrics, platform::wireFormat(),
+              [](const std::function<void(bool)> &done) { done(true); },
+              [this](const request_outcome &outcome) { m_outcomes.push_back(outcome); },
+              [this](const crash_report &report) { m_crashReports.push_back(report); },
+              [](const rate_limit_report &) {}})
+        , m_clientServer(io, anyPort(), request_limits(), handlerOf(request_origin::client))
+        , m_handoverServer(io, anyPort(), request_limits(), handlerOf(request_origin::host))
+        , m_self{name, "127.0.0.1:1", "a", textOf(m_handoverServer.address())}
+    { }
+
+    void stop()
+    {
+        m_clientServer.stop();
+        m_handoverServer.stop();
+        m_client.stop();
+        m_relays.clear();
+    }
+
+    void setView(const routing_view &view, time_point now)
+    {
+        auto own = std::make_shared<routing_view>(view);
+        for (auto &service : own->instances) {
+            for (instance &entry : service.second) {
+                auto &relay = m_relays[entry.id];
+                if (!relay)
+                    relay = std::make_unique<instance_relay>(m_io, parseAddress(entry.address));
+                entry.address = textOf(relay->address());
+            }
+        }
+        m_state.setView(own);
+        m_state.setConfirmedAt(now);
+        m_forwarder.onViewUpdated();
+    }
+
+    void cut(relay_cut how)
+    {
+        for (const auto &relay : m_relays)
+            relay.second->setCut(how);
+    }
+
+    const registered_host &self() const { return m_self; }
+    boost::asio::ip::tcp::endpoint clientAddress() const { return m_clientServer.address(); }
+    boost::asio::ip::tcp::endpoint handoverAddress() const { return m_handoverServer.address(); }
+    forwarder &requests() { return m_forwarder; }
+    traffic_state &state() { return m_state; }
+    const std::vector<request_outcome> &outcomes() const { return m_outcomes; }
+    const std::vector<crash_report> &crashReports() const { return m_crashReports; }
+
+private:
+    static router_settings settingsOf(const std::string &name)
+    {
+        router_settings result;
+        result.name = name;
+        result.failureDomain = "a";
+        return result;
+    }
+
+    static boost::asio::ip::tcp::endpoint anyPort()
+    {
+        return {boost::asio::ip::make_address("127.0.0.1"), 0};
+    }
+
+    static boost::asio::ip::tcp::endpoint parseAddress(const std::string &address)
+    {
+        const std::size_t colon = address.find(':');
+        return {boost::asio::ip::make_address(address.substr(0, colon)),
+                static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+    }
+
+    async_server::handler handlerOf(request_origin origin)
+    {
+        return [this, origin](http1_request request, std::shared_ptr<response_writer> writer) {
+            m_forwarder.handle(std::move(request), std::move(writer), origin);
+        };
+    }
+
+    boost::asio::io_context &m_io;
+    std::map<std::string, std::unique_ptr<instance_relay>> m_relays; ///< By instance.
+    async_client m_client;
+    traffic_state m_state;
+    router_metrics m_metrics;
+    std::vector<request_outcome> m_outcomes;
+    std::vector<crash_report> m_crashReports;
+    forwarder m_forwarder;
+    async_server m_clientServer;
+    async_server m_handoverServer;
+    registered_host m_self;
+};
+
+/// Hosts h0 to h3 before four instances of each of two services.
+class handover_fixture : public router_fixture
+{
+protected:
+    static constexpr int hostCount = 4;
+    /// Time from which on a host that is cut off is expected to serve.
+    static constexpr seconds contactTime{3};
+
+    handover_fixture()
+    {
+        for (int i = 1; i <= 4; ++i) {
+            addInstance("plain", "plain-" + std::to_string(i));
+            addInstance("engine", "engine-" + std::to_string(i));
+        }
+        instance_faults faults;
+        faults.confidence = 100;
+        faults.events = 5;
+        onLoop([&] {
+            for (const auto &standin : m_standins) {
+                if (standin->id().rfind("engine", 0) == 0)
+                    standin->setFaults(faults);
+            }
+            for (int i = 0; i < hostCount; ++i)
+                m_hosts.push_back(
+                    std::make_unique<relayed_host>(m_io, m_clock, "h" + std::to_string(i)));
+        });
+        publishToHosts();
+    }
+    ~handover_fixture() override
+    {
+        onLoop([this] {
+            for (const auto &host : m_hosts)
+                host->stop();
+        });
+        // Connections hold references to their host until the loop has seen them close.
+        std::this_thread::sleep_for(milliseconds(50));
+        onLoop([this] { m_hosts.clear(); });
+    }
+
+    void publishToHosts()
+    {
+        onLoop([this] {
+            routing_view view;
+            view.config = std::make_shared<routing_config>(m_config);
+            view.instances = m_instances;
+            view.rollouts = m_rollouts;
+            std::set<std::string> names;
+            std::vector<registered_host> addresses;
+            for (const auto &host : m_hosts) {
+                names.insert(host->self().name);
+                addresses.push_back(host->self());
+            }
+            view.hosts = std::make_shared<const std::set<std::string>>(names);
+            view.hostAddresses = std::make_shared<const std::vector<registered_host>>(addresses);
+            for (const auto &host : m_hosts)
+                host->setView(view, m_clock.now());
+        });
+    }
+
+    void cut(int host, relay_cut how)
+    {
+        onLoop([&] { m_hosts[host]->cut(how); });
+    }
+
+    /// Sends one request of the kind that \a number selects on a new connection to \a host.
+    /// \returns its status, 0 if the connection ended without a response.
+    unsigned sendTo(int host, int number, const std::string &id)
+    {
+        const auto address = onLoop([&] { return m_hosts[host]->clientAddress(); });
+        try {
+            raw_http_client client(address);
+            switch (number % 3) {
+            case 0:
+                client.send(requestText("GET", "/safe/x", id));
+                break;
+            case 1:
+                client.send(requestText("POST", "/once/x", id, "", "{}"));
+                break;
+            default:
+                client.send(requestText("POST", "/stream/x", id, "X-Model: *\r\n", "{}"));
+                break;
+            }
+            const http1_response response = client.read();
+            const bool isStream = number % 3 == 2;
+            const std::string body = isStream ? fullStream() : platform_instance::bodyFor(id);
+            EXPECT_TRUE(response.result_int() != 200 || response.body() == body) << id;
+            return response.result_int();
+        } catch (const boost::system::system_error &) {
+            return 0;
+        }
+    }
+
+    /// Sends \a count requests to \a host at a steady rate over \a period, each by a client of its
+    /// own. \returns how many were served at the first attempt.
+    int served(int host, int count, milliseconds period, const std::string &prefix)
+    {
+        std::vector<std::future<unsigned>> statuses;
+        statuses.reserve(count);
+        for (int i = 0; i < count; ++i) {
+            statuses.push_back(std::async(
+                std::launch::async, [=] { return sendTo(host, i, prefix + std::to_string(i)); }));
+            std::this_thread::sleep_for(period / count);
+        }
+        int result = 0;
+        for (auto &status : statuses)
+            result += status.get() == 200 ? 1 : 0;
+        return result;
+    }
+
+    static std::string fullStream()
+    {
+        std::string text;
+        for (int i = 1; i <= 5; ++i)
+            text += platform_instance::eventText(i);
+        return text;
+    }
+
+    std::vector<std::unique_ptr<relayed_host>> m_hosts;
+};
+
+class partitioned_host_fixture : public handover_fixture,
+                                 public ::testing::WithParamInterface<relay_cut>
+{ };
+
+TEST_P(partitioned_host_fixture, host_that_reaches_no_instance_serves_as_often_as_the_others)
+{
+    constexpr int requests = 60;
+    served(0, 12, milliseconds(200), "before-");
+    cut(0, GetParam());
+    served(0, 30, contactTime, "early-");
+    const int cutOff = served(0, requests, seconds(2), "cut-");
+    const int others = served(1, requests, seconds(2), "other-");
+    EXPECT_EQ(requests, others);
+    // At least two thirds as often as the others, and at most 10 and 1 in 50 not served.
+    EXPECT_LE(2 * others, 3 * cutOff);
+    EXPECT_GE(10 + requests / 50, requests - cutOff);
+    for (const std::string prefix : {"early-", "cut-"}) {
+        for (int i = 1; i < requests; i += 3)
+            EXPECT_GE(1, executionsOf(prefix + std::to_string(i))) << prefix << i;
+    }
+}
+
+TEST_P(partitioned_host_fixture, cut_of_one_host_is_no_evidence_of_crashes)
+{
+    served(0, 12, milliseconds(200), "before-");
+    cut(0, GetParam());
+    served(0, 40, seconds(2), "cut-");
+    onLoop([&] {
+        EXPECT_EQ(0U, m_hosts[0]->crashReports().size());
+        EXPECT_EQ(0U, m_hosts[0]->state().quarantine().quarantinedCount());
+    });
+}
+
+TEST_P(partitioned_host_fixture, sends_that_a_cut_breaks_are_no_evidence_of_crashes_or_bad_versions)
+{
+    constexpr int requests = 12;
+    instance_faults faults;
+    faults.confidence = 100;
+    faults.events = 5;
+    faults.delay = milliseconds(150);
+    onLoop([&] {
+        for (const auto &standin : m_standins)
+            standin->setFaults(standin->id().rfind("engine", 0) == 0 ? faults : instance_faults());
+    });
+    for (instance &entry : m_instances["engine"])
+        entry.version = "v2";
+    service_rollout rollout;
+    rollout.order = {"engine", "v2", seconds(24), 7};
+    rollout.record = {7, "v2", rollout_stage::ramp, milliseconds(20'000)};
+    rollout.seenAt = m_clock.now();
+    m_rollouts["engine"] = rollout;
+    publishToHosts();
+    std::vector<std::future<unsigned>> statuses;
+    statuses.reserve(requests);
+    for (int i = 0; i < requests; ++i)
+        statuses.push_back(std::async(std::launch::async,
+                                      [=] { return sendTo(0, i, "cut-" + std::to_string(i)); }));
+    std::this_thread::sleep_for(milliseconds(75));
+    cut(0, GetParam());
+    for (auto &status : statuses)
+        status.get();
+    std::this_thread::sleep_for(seconds(1));
+    cut(0, relay_cut::none);
+    std::this_thread::sleep_for(seconds(2));
+    served(0, 30, seconds(1), "after-");
+    onLoop([&] {
+        EXPECT_EQ(0U, m_hosts[0]->crashReports().size());
+        EXPECT_EQ(0U, m_hosts[0]->state().quarantine().quarantinedCount());
+        for (const request_outcome &outcome : m_hosts[0]->outcomes())
+            EXPECT_FALSE(outcome.failed || outcome.slow);
+    });
+    for (int i = 1; i < requests; i += 3)
+        EXPECT_GE(1, executionsOf("cut-" + std::to_string(i))) << i;
+}
+
+INSTANTIATE_TEST_SUITE_P(cuts, partitioned_host_fixture,
+                         ::testing::Values(relay_cut::hang, relay_cut::reset,
+                                           relay_cut::refuseNew));
+
+} // namespace
+} // namespace goldcrestdeck
