A host that reaches no instance hands its requests over to hosts that do

Cause: such a host had no other way to serve a request. It tried one instance after the other for 300 ms each, and noticed silent connections only when the kernel gave them up after 3 s. Its broken sends counted against versions, and a refused connection as a crash, although the path had failed and not the instances. Change: upstream_reachability tells a lost path (connections to three instances of two services failed in succession) from failed instances; path_watch tests it with trial connections, also on silence, until it is back. A host without a path hands requests over (handover) by HTTP to a listener of another host, the less loaded of two random ones, with the remaining time, attempts, deliveries, stream position and configuration version; the other host never hands on, and says in refusals whether the request has run. A crash is recorded only once another instance has accepted a connection; failures seen during a cut are discarded; a candidate is not slow while nothing arrives from any instance. Ruled out: readiness alone (open connections stay). Weighed: FlatBuffers over peer_link; HTTP has streams, bodies, cancellation and back pressure already.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
@@ -102,6 +103,10 @@
             }
             setTcpOptions(self->m_socket);
             self->m_connected = true;
+            if (const auto onConnected = std::exchange(self->m_options.onConnected, nullptr))
+                onConnected();
+            if (self->m_closed)
+                return;
             self->read();
             self->send();
         });
@@ -134,6 +139,7 @@
         m_socket.close(ignored);
         m_observer = {};
         m_options.isOwnResponse = nullptr;
+        m_options.onConnected = nullptr;
         removeFromPool();
     }
 
@@ -509,6 +515,11 @@
 void async_client::stop()
 {
     m_shared->stopped = true;
+    closeAllIdleConnections();
+}
+
+void async_client::closeAllIdleConnections()
+{
     const auto idle = std::move(m_shared->idle);
     m_shared->idle.clear();
     for (const auto &entry : idle) {
--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -55,6 +55,8 @@
     /// If set, responses for which it returns false are discarded: they belong to an earlier
     /// request on the same connection. The second argument says whether there has been one.
     std::function<bool(const http1_response_head &, bool)> isOwnResponse;
+    /// If set, called when a new connection has been established for the call.
+    std::function<void()> onConnected;
 };
 
 class async_client
@@ -90,6 +92,8 @@
 
     /// Closes the idle connections to a process that no longer exists.
     void closeIdleConnections(const std::string &serverId);
+    /// Closes the idle connections to all servers.
+    void closeAllIdleConnections();
     std::size_t openConnections() const { return m_shared->openConnections; }
     /// Returns the number of connections created so far, including those that failed or closed.
     std::uint64_t connectionsOpened() const { return m_shared->connectionsOpened; }
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -7,10 +7,12 @@
 #include <algorithm>
 #include <cmath>
 #include <sstream>
+#include <utility>
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 #include "goldcrestdeck/endpoint.h"
@@ -76,6 +78,17 @@
 /// the stream is shorter, but not less than the second number.
 constexpr std::size_t eventsForInterval = 16;
 constexpr std::size_t minEventsForInterval = 4;
+/// Hosts that a request is handed over to one after the other, if they cannot help.
+constexpr unsigned maxHandoverTries = 3;
+/// Requests of other hosts that this host serves at a time.
+constexpr std::size_t maxHandedOverRequests = 256;
+/// By this much the deadline at the other host is earlier, so that its response arrives in time.
+constexpr std::chrono::milliseconds handoverMargin{20};
+/// Interval between searches for requests that wait in silence.
+constexpr std::chrono::milliseconds silenceCheckInterval{250};
+/// Instances without a response that make silence a reason to test the path. A single one may be
+/// busy with a long prompt.
+constexpr std::size_t minSilentInstances = 2;
 /// The numerically largest, least urgent priority that instances accept.
 constexpr unsigned maxPriorityValue = 9;
 
@@ -127,28 +140,28 @@
 class forwarder::active_request : public std::enable_shared_from_this<forwarder::active_request>
 {
 public:
-    active_request(forwarder_dependencies &dependencies, const std::optional<drain_schedule> &drain,
-                   client_request request, std::shared_ptr<response_writer> writer,
-                   std::shared_ptr<std::set<std::shared_ptr<active_request>>> activeRequests,
-                   std::function<void()> onCrashEvidence,
-                   std::function<void(const instance &)> checkInstance, std::size_t &bufferedBytes)
-        : m_dependencies(dependencies)
-        , m_drain(drain)
-        , m_state(dependencies.state)
+    /// \a handover: the state of a request that another host has handed over.
+    active_request(forwarder &owner, client_request request,
+                   std::shared_ptr<response_writer> writer,
+                   std::optional<handover_request> handover)
+        : m_owner(owner)
+        , m_dependencies(owner.m_dependencies)
+        , m_drain(owner.m_drain)
+        , m_state(owner.m_dependencies.state)
         , m_request(std::move(request))
         , m_writer(std::move(writer))
-        , m_activeRequests(std::move(activeRequests))
-        , m_onCrashEvidence(std::move(onCrashEvidence))
-        , m_checkInstance(std::move(checkInstance))
-        , m_bufferedBytes(bufferedBytes)
-        , m_timer(dependencies.io.get_executor())
-        , m_slowTimer(dependencies.io.get_executor())
-        , m_started(dependencies.time.now())
+        , m_handover(std::move(handover))
+        , m_activeRequests(owner.m_activeRequests)
+        , m_bufferedBytes(owner.m_bufferedBytes)
+        , m_timer(owner.m_dependencies.io.get_executor())
+        , m_slowTimer(owner.m_dependencies.io.get_executor())
+        , m_started(owner.m_dependencies.time.now())
     { }
 
     void start()
     {
         m_activeRequests->insert(shared_from_this());
+        m_owner.m_handedOverRequests += m_handover ? 1 : 0;
         m_writer->setCallbacks([self = shared_from_this()] { self->onClientGone(); },
                                [self = shared_from_this()] { self->m_call.resume(); });
         resolveRoute(false);
@@ -163,6 +176,31 @@
         resolveRoute(false);
     }
 
+    /// When the current send to an instance began, if nothing of its response has arrived.
+    std::optional<time_point> waitingSince() const
+    {
+        if (!m_sending || m_toHost || m_responseBegun)
+            return std::nullopt;
+        return m_sentAt;
+    }
+    std::string waitingFor() const { return m_chosen.target.incarnation(); }
+
+    /// This host has lost its path to the instances: a request that waits in silence and may be
+    /// repeated is sent again.
+    void onPathLost()
+    {
+        const time_point time = now();
+        if (m_finished || !waitingSince() || m_sentAt <= m_owner.m_path.lastBytesAt()
+            || !isRepeatable() || m_attempts >= m_route->maxAttempts
+            || !m_state.mayRetry(m_service, retry_reason::failure, time))
+            return;
+        m_call.cancel();
+        m_mayHaveRun = true;
+        endSend(send_result::cancelled, "path_lost");
+        m_retryReason = "path_lost";
+        send();
+    }
+
 private:
     enum class response_mode { none, buffered, eventStream };
 
@@ -178,6 +216,10 @@
             return;
         }
         const routing_config &config = *m_config;
+        if (m_handover && config.version() < m_handover->configVersion) {
+            refuse(http::status::service_unavailable, olderConfigCode, notReadyRetryAfter);
+            return;
+        }
         m_route = config.match(m_request.host, m_request.path);
         if (m_route != nullptr && config.requiresKeys() && !m_route->isPublic)
             m_workspace = config.workspaceOf(m_request.key);
@@ -229,12 +271,13 @@
         const auto timeout
             = m_request.timeout ? std::min(*m_request.timeout, m_route->timeout) : m_route->timeout;
         m_deadline = m_started + timeout;
-        if (m_drain && !acceptsWhileDraining(*m_drain, timeout, now())) {
-            refuse(http::status::service_unavailable, "stopping", drainingRetryAfter);
+        if (m_drain && (m_handover || !acceptsWhileDraining(*m_drain, timeout, now()))) {
+            refuse(http::status::service_unavailable, stoppingCode, drainingRetryAfter);
             return;
         }
         m_service = chooseService(*m_route, m_state.draw());
-        m_state.recordRequest(m_service, now());
+        if (m_handover && !acceptHandover(*m_handover))
+            return;
         if (!m_request.specifiesModel && m_route->models.empty()) {
             refuse(http::status::bad_request, "no_model", std::nullopt);
             return;
@@ -243,6 +286,44 @@
         send();
     }
 
+    /// Takes over the state of a request that another host has handed over. \returns whether this
+    /// host can serve it; if not, it has been refused.
+    bool acceptHandover(const handover_request &handover)
+    {
+        const char *refusal = nullptr;
+        if (m_owner.m_path.isLost())
+            refusal = pathLostCode;
+        else if (m_owner.m_handedOverRequests > maxHandedOverRequests)
+            refusal = handoverLimitCode;
+        if (refusal != nullptr) {
+            refuse(http::status::service_unavailable, refusal, busyRetryAfter);
+            return false;
+        }
+        m_deadline = std::min<time_point>(m_deadline, m_started + handover.remainingTime);
+        for (const auto &service : m_route->services) {
+            if (service.service == handover.service)
+                m_service = handover.service;
+        }
+        m_attempts = m_route->maxAttempts - std::min(m_route->maxAttempts, handover.maxAttempts);
+        m_initialAttempts = m_attempts;
+        m_deliveries = handover.deliveries;
+        m_isCounted = handover.isCounted;
+        m_lastEventId = handover.lastEventId;
+        if (!m_route->models.empty())
+            m_modelIndex = std::min(handover.modelIndex, m_route->models.size() - 1);
+        return true;
+    }
+
+    /// Counts the request once for the retry budget: on the host that first sends it to an
+    /// instance.
+    void countRequest()
+    {
+        if (m_isCounted)
+            return;
+        m_isCounted = true;
+        m_state.recordRequest(m_service, now());
+    }
+
     /// Whether the request may be sent again although an earlier send may have run.
     bool isRepeatable() const
     {
@@ -262,7 +343,7 @@
     {
         time_point expiry = m_deadline;
         m_sendDeadline = m_deadline;
-        if (m_sending && isRepeatable() && m_attempts < m_route->maxAttempts)
+        if (m_sending && !m_toHost && isRepeatable() && m_attempts < m_route->maxAttempts)
             m_sendDeadline = std::min(m_deadline, m_lastActivityAt + sendTimeout());
         expiry = std::min(expiry, m_sendDeadline);
         m_timer.set(std::max<duration>(expiry - now(), duration(0)), [self = shared_from_this()] {
@@ -294,14 +375,15 @@
             onDeadline();
             return;
         }
-        const bool canRetry = m_sending && isRepeatable() && m_attempts < m_route->maxAttempts
-            && !(m_streaming && !m_allEventsNumbered);
+        // A host that serves the request for this one looks after its sends itself.
+        const bool canRetry = m_sending && !m_toHost && isRepeatable()
+            && m_attempts < m_route->maxAttempts && !(m_streaming && !m_allEventsNumbered);
         if (canRetry && time < m_lastActivityAt + sendTimeout()) {
             setTimer();
             return;
         }
         if (canRetry && m_state.mayRetry(m_service, retry_reason::failure, time)
-            && m_state.choose(placementRequest(), time)) {
+            && (mayHandOver() || m_state.choose(placementRequest(), time))) {
             m_call.cancel();
             m_mayHaveRun = true;
             endSend(send_result::broken, "slow");
@@ -341,6 +423,10 @@
                 return;
             }
         }
+        if (mayHandOver()) {
+            sendToHost();
+            return;
+        }
         const placement_request placement = placementRequest();
         const auto chosen = m_state.choose(placement, time);
         if (!chosen) {
@@ -355,10 +441,22 @@
             m_state.recordRetry(m_service, time);
             m_dependencies.metrics.retries(m_retryReason).Increment();
         }
+        countRequest();
         ++m_deliveries;
-        ++m_sends;
         ++m_attempts;
         m_state.recordSend(placement, m_chosen, time);
+        beginSend(time);
+        m_toHost = false;
+        logSendToLimitedInstance();
+        setTimer();
+        setSlowTimer();
+        call(endpoint);
+    }
+
+    /// Resets what is known of the current send.
+    void beginSend(time_point time)
+    {
+        ++m_sends;
         m_sentAt = time;
         m_lastActivityAt = time;
         m_sending = true;
@@ -371,10 +469,150 @@
         m_intervalRecorded = false;
         m_slow = false;
         m_outcomeReported = false;
-        logSendToLimitedInstance();
+    }
+
+    /// Whether the request goes to another host because this one reaches no instance. A request of
+    /// another host is not handed on.
+    bool mayHandOver() const { return !m_handover && m_owner.m_path.isLost(); }
+
+    /// Hands the request over to another host, or ends it if there is none.
+    void sendToHost()
+    {
+        const time_point time = now();
+        const auto target = m_triedHosts.size() < maxHandoverTries
+            ? m_owner.m_handoverTargets.choose(m_triedHosts, time)
+            : std::nullopt;
+        if (!target) {
+            finishFailed(pathLostCode);
+            return;
+        }
+        m_helper = target->name;
+        m_triedHosts.insert(m_helper);
+        m_owner.m_handoverTargets.recordBegin(m_helper);
+        const unsigned attemptsLeft
+            = m_route->maxAttempts - std::min(m_route->maxAttempts, m_attempts);
+        // One attempt is kept for another host, should this one break off.
+        m_grantedAttempts
+            = std::max(1U, isRepeatable() && attemptsLeft > 1 ? attemptsLeft - 1 : attemptsLeft);
+        handover_request handover;
+        handover.remainingTime = std::max(std::chrono::milliseconds(1),
+                                          std::chrono::duration_cast<std::chrono::milliseconds>(
+                                              m_deadline - time - handoverMargin));
+        handover.maxAttempts = m_grantedAttempts;
+        handover.deliveries = m_deliveries;
+        handover.isCounted = m_isCounted;
+        handover.service = m_service;
+        handover.modelIndex = m_modelIndex;
+        handover.lastEventId = m_lastEventId;
+        handover.configVersion = m_config->version();
+        m_attempts += m_grantedAttempts;
+        ++m_deliveries;
+        beginSend(time);
+        m_toHost = true;
+        logEvent(log_level::info, "request_handed_over",
+                 {{"request", m_request.id},
+                  {"host", m_helper},
+                  {"remaining_ms", std::to_string(handover.remainingTime.count())},
+                  {"attempts", std::to_string(handover.maxAttempts)},
+                  {"deliveries", std::to_string(handover.deliveries)},
+                  {"try", std::to_string(m_triedHosts.size())}});
         setTimer();
-        setSlowTimer();
-        call(endpoint);
+        http1_request message = m_request.message;
+        removeHopByHopFields(message);
+        message.version(11);
+        if (!message.body().empty() || message.has_content_length())
+            message.content_length(message.body().size());
+        encodeHandover(handover, message);
+        call_options options;
+        options.maxIdleFraction = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
+        m_call = m_dependencies.client.call(parseEndpoint(target->handoverAddress),
+                                            "host " + m_helper + ' ' + target->handoverAddress,
+                                            message, observer(), std::move(options));
+    }
+
+    /// The head of a response from the host that serves the request.
+    void onHostHead()
+    {
+        const auto result = takeHandoverResult(m_head);
+        m_handoverResult = result.value_or(handover_result());
+        if (!result)
+            logEvent(log_level::warning, "handover_result_malformed",
+                     {{"request", m_request.id}, {"host", m_helper}});
+        else
+            m_attempts = m_attempts - m_grantedAttempts + result->attempts;
+        m_grantedAttempts = 0;
+        m_responseBegun = true;
+        m_firstByteLatency = now() - m_sentAt;
+        const bool isStream = m_route->kind == request_kind::stream
+            && m_head.result_int() / 100 == 2 && m_metadata.isComplete && isEventStream(m_head);
+        if (isStream)
+            m_mode = response_mode::eventStream;
+    }
+
+    /// The end of a response from the host that serves the request, other than of a stream.
+    void onHostEnd()
+    {
+        const handover_result result = m_handoverResult;
+        const bool notRun = result.refusedRun == execution_state::no;
+        if (notRun && mayOtherHostServe(result.refusalCode)) {
+            endHostSend(result.refusalCode == pathLostCode ? handover_end::pathLost
+                                                           : handover_end::refused,
+                        result.refusalCode);
+            --m_deliveries;
+            send();
+            return;
+        }
+        endHostSend(handover_end::served, result.refusedRun ? result.refusalCode : "served");
+        if (m_streaming) {
+            abortStream("resume_failed");
+            return;
+        }
+        if (result.refusedRun && m_mayHaveRun) {
+            // It has not run there, but it may have before.
+            finishFailed(result.refusalCode);
+            return;
+        }
+        if (!result.refusedRun && m_head.result_int() / 100 == 2 && !m_metadata.isComplete) {
+            m_mayHaveRun = true;
+            finishFailed(toString(call_failure::malformed));
+            return;
+        }
+        deliver(bufferedResponse(), "handed_over");
+    }
+
+    void onHostFailure(call_failure failure)
+    {
+        endHostSend(handover_end::unreachable, toString(failure));
+        if (failure == call_failure::notSent) {
+            m_attempts -= std::exchange(m_grantedAttempts, 0);
+            --m_deliveries;
+            send();
+            return;
+        }
+        m_mayHaveRun = true;
+        if (m_streaming && (!m_allEventsNumbered || !m_lastEventId)) {
+            abortStream("stream_broken");
+            return;
+        }
+        if (mayRetry()) {
+            m_retryReason = m_streaming ? "resume" : "broken";
+            send();
+            return;
+        }
+        finishFailed(toString(failure));
+    }
+
+    void endHostSend(handover_end end, const std::string &outcome)
+    {
+        m_sending = false;
+        m_owner.m_handoverTargets.recordEnd(m_helper, end, now());
+        m_dependencies.metrics.handovers(outcome).Increment();
+        logEvent(log_level::info, "handover_ended",
+                 {{"request", m_request.id},
+                  {"host", m_helper},
+                  {"outcome", outcome},
+                  {"response_begun", m_responseBegun ? "yes" : "no"},
+                  {"ms", formatMilliseconds(now() - m_sentAt)}});
     }
 
     void logSendToLimitedInstance() const
@@ -407,8 +645,17 @@
             return;
         const unsigned sendNumber = m_sends;
         m_slowTimer.set(*limit, [self = shared_from_this(), sendNumber] {
-            if (self->isCurrent(sendNumber) && !self->m_responseBegun)
+            if (!self->isCurrent(sendNumber) || self->m_responseBegun)
+                return;
+            if (self->m_owner.m_path.lastBytesAt() > self->m_sentAt) {
                 self->reportSlow();
+                return;
+            }
+            // Nothing has arrived from any instance: it may be this host's path.
+            self->m_owner.m_path.awaitPath(self->waitingFor(), [self, sendNumber](bool isIntact) {
+                if (isIntact && self->isCurrent(sendNumber) && !self->m_responseBegun)
+                    self->reportSlow();
+            });
         });
     }
 
@@ -429,6 +676,8 @@
     /// once.
     void recordEvents(std::size_t count)
     {
+        if (m_toHost)
+            return;
         if (m_eventsInSend == 0)
             m_firstEventAt = now();
         m_eventsInSend += count;
@@ -474,6 +723,29 @@
                                                                        : m_route->priority);
         if (m_lastEventId)
             options.lastEventId = std::to_string(*m_lastEventId);
+        call_options callOptions;
+        callOptions.maxIdleFraction
+            = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
+        // A response of this instance to an earlier send would name the same request.
+        if (!m_everTried.insert(m_chosen.target.incarnation()).second)
+            callOptions.maxIdleFraction = 0;
+        callOptions.isOwnResponse = [wire = m_dependencies.wire, id = m_request.id](
+                                        const http1_response_head &head, bool isReused) {
+            const std::string requestId = wire.decodeResponse(head).requestId;
+            return requestId == id || (requestId.empty() && !isReused);
+        };
+        callOptions.onConnected = [self = shared_from_this(), openedAt = m_sentAt,
+                                   incarnation = m_chosen.target.incarnation()] {
+            self->m_owner.m_path.recordConnected(incarnation, openedAt);
+        };
+        m_call = m_dependencies.client.call(endpoint, m_chosen.target.incarnation(),
+                                            m_dependencies.wire.encodeRequest(m_request, options),
+                                            observer(), std::move(callOptions));
+    }
+
+    /// Passes the events of the current send on, and drops those of earlier ones.
+    response_observer observer()
+    {
         const unsigned sendNumber = m_sends;
         const auto self = shared_from_this();
         response_observer observer;
@@ -493,20 +765,7 @@
             if (self->isCurrent(sendNumber))
                 self->onFailure(failure);
         };
-        call_options callOptions;
-        callOptions.maxIdleFraction
-            = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
-        // A response of this instance to an earlier send would name the same request.
-        if (!m_everTried.insert(m_chosen.target.incarnation()).second)
-            callOptions.maxIdleFraction = 0;
-        callOptions.isOwnResponse = [wire = m_dependencies.wire, id = m_request.id](
-                                        const http1_response_head &head, bool isReused) {
-            const std::string requestId = wire.decodeResponse(head).requestId;
-            return requestId == id || (requestId.empty() && !isReused);
-        };
-        m_call = m_dependencies.client.call(endpoint, m_chosen.target.incarnation(),
-                                            m_dependencies.wire.encodeRequest(m_request, options),
-                                            std::move(observer), std::move(callOptions));
+        return observer;
     }
 
     bool isCurrent(unsigned sendNumber) const
@@ -519,6 +778,11 @@
         m_head = head;
         m_metadata = m_dependencies.wire.decodeResponse(head);
         m_mode = response_mode::buffered;
+        if (m_toHost) {
+            onHostHead();
+            return;
+        }
+        m_owner.m_path.recordBytes();
         recordRateLimit();
         recordLeaving();
         if (m_metadata.notExecuted)
@@ -637,10 +901,14 @@
 
     void onBody(std::string piece)
     {
-        recordResponseBytes();
+        if (!m_toHost) {
+            m_owner.m_path.recordBytes();
+            recordResponseBytes();
+        }
         if (!m_bodyBegun) {
             m_bodyBegun = true;
-            recordAnswer();
+            if (!m_toHost)
+                recordAnswer();
         }
         if (m_mode != response_mode::eventStream) {
             m_body += piece;
@@ -692,11 +960,20 @@
         m_streaming = true;
         http1_response_head head = m_head;
         removeHopByHopFields(head);
+        if (m_handover)
+            encodeHandoverResult({usedAttempts(), std::nullopt, ""}, head);
         m_writer->begin(head);
     }
 
+    /// Attempts made on this host.
+    unsigned usedAttempts() const { return m_attempts - m_initialAttempts; }
+
     void onEnd()
     {
+        if (m_toHost && m_mode != response_mode::eventStream) {
+            onHostEnd();
+            return;
+        }
         if (m_metadata.notExecuted) {
             endSend(send_result::refused, "refused");
             --m_attempts;
@@ -741,7 +1018,8 @@
             return;
         }
         beginStream();
-        recordEventInterval();
+        if (!m_toHost)
+            recordEventInterval();
         m_writer->write(m_splitter.partial());
         endSend(send_result::answered, "answered");
         m_writer->end();
@@ -765,6 +1043,10 @@
 
     void onFailure(call_failure failure)
     {
+        if (m_toHost) {
+            onHostFailure(failure);
+            return;
+        }
         const bool notDelivered = failure == call_failure::notSent;
         recordCrashEvidence(failure);
         endSend(resultOf(failure), toString(failure));
@@ -816,9 +1098,11 @@
             refuse(http::status::bad_gateway, code, std::nullopt);
         } else {
             const double jitter = 0.5 + m_state.draw();
-            refuse(http::status::service_unavailable, code,
-                   std::chrono::milliseconds(
-                       std::lround(jitter * static_cast<double>(retryAfter().count()))));
+            // Clients retry on another host, which may well have its path.
+            const auto mean = code == pathLostCode ? drainingRetryAfter : retryAfter();
+            refuse(
+                http::status::service_unavailable, code,
+                std::chrono::milliseconds(std::lround(jitter * static_cast<double>(mean.count()))));
         }
     }
 
@@ -861,6 +1145,10 @@
 
     void endSend(send_result result, const char *outcome)
     {
+        if (m_toHost) {
+            endHostSend(handover_end::served, outcome);
+            return;
+        }
         m_sending = false;
         const unsigned earlierBrokenSends
             = m_state.recordEnd(m_chosen, m_responseBegun, result, now());
@@ -952,7 +1240,7 @@
     {
         m_answered = true;
         m_state.quarantine().recordAnswered(sharedSegments(), ownSegment(), now());
-        m_onCrashEvidence();
+        m_owner.onCrashEvidence();
     }
 
     /// Adds the end of the current send to the evidence on crashes. \a failure is that of the
@@ -961,17 +1249,17 @@
     {
         const std::string incarnation = m_chosen.target.incarnation();
         if (failure == call_failure::notSent) {
-            m_state.quarantine().recordConnectionRefused(incarnation, now());
-        } else if (failure == call_failure::broken) {
+            m_owner.onConnectFailed(incarnation);
+        } else if (failure == call_failure::broken && !m_owner.m_path.isLost()) {
             if (m_responseBegun && !m_bodyBegun)
                 ++m_unansweredBreaks;
             if (!m_bodyBegun)
                 recordUnansweredSend();
             m_state.quarantine().recordConnectionLost(incarnation, m_sentAt, now());
             if (m_state.quarantine().isUnverified(incarnation))
-                m_checkInstance(m_chosen.target);
+                m_owner.checkInstance(m_chosen.target);
         }
-        m_onCrashEvidence();
+        m_owner.onCrashEvidence();
     }
 
     /// Framing of the last response, for the log; empty if there is none.
@@ -1002,6 +1290,8 @@
     {
         const unsigned status = response.result_int();
         const auto writer = m_writer;
+        if (m_handover)
+            encodeHandoverResult({usedAttempts(), std::nullopt, ""}, response);
         finish(status, outcome);
         writer->send(std::move(response));
     }
@@ -1011,8 +1301,11 @@
     {
         const execution_state run = m_mayHaveRun ? execution_state::unknown : execution_state::no;
         const auto writer = m_writer;
+        http1_response response = makeRefusal(status, code, run, retryAfter);
+        if (m_handover)
+            encodeHandoverResult({usedAttempts(), run, code}, response);
         finish(static_cast<unsigned>(status), code);
-        writer->send(makeRefusal(status, code, run, retryAfter));
+        writer->send(std::move(response));
     }
 
     void finish(unsigned status, const std::string &outcome)
@@ -1033,11 +1326,13 @@
              {"workspace", m_workspace != nullptr ? m_workspace->name : ""},
              {"status", std::to_string(status)},
              {"outcome", outcome},
-             {"instance", m_sends > 0 ? m_chosen.target.incarnation() : ""},
-             {"version", m_sends > 0 ? m_chosen.target.version : ""},
+             {"instance", m_everTried.empty() ? "" : m_chosen.target.incarnation()},
+             {"version", m_everTried.empty() ? "" : m_chosen.target.version},
              {"model", m_route != nullptr && !m_route->models.empty() ? model() : ""},
              {"confidence", m_metadata.confidence ? std::to_string(*m_metadata.confidence) : ""},
              {"sends", std::to_string(m_sends)},
+             {"origin", m_handover ? "host" : "client"},
+             {"helper", m_helper},
              {"shared_segments", sharedSegmentIds()},
              {"first_byte_ms", m_responseBegun ? formatMilliseconds(m_firstByteLatency) : ""},
              {"framing", framing()},
@@ -1046,18 +1341,18 @@
              {"config", m_config ? std::to_string(m_config->version()) : ""},
              {"view_age_ms", formatMilliseconds(now() - m_state.confirmedAt())},
              {"ms", formatMilliseconds(time)}});
+        m_owner.m_handedOverRequests -= m_handover ? 1 : 0;
         m_activeRequests->erase(shared_from_this());
     }
 
+    forwarder &m_owner;
     forwarder_dependencies &m_dependencies;
     const std::optional<drain_schedule> &m_drain;
     traffic_state &m_state;
     client_request m_request;
     std::shared_ptr<response_writer> m_writer;
+    std::optional<handover_request> m_handover; ///< Set if another host has handed it over.
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
-    std::function<void()> m_onCrashEvidence;
-    /// Finds out whether an instance that has cut a send has crashed.
-    std::function<void(const instance &)> m_checkInstance;
     std::size_t &m_bufferedBytes; ///< Of all requests.
     one_shot_timer m_timer;
     one_shot_timer m_slowTimer;
@@ -1080,6 +1375,13 @@
     unsigned m_sends = 0;              ///< Also the number of the current send.
     unsigned m_attempts = 0;   ///< Sends that count against maxAttempts: those that may have run.
     unsigned m_deliveries = 0; ///< Sends that reached, or may yet reach, an instance.
+    unsigned m_initialAttempts = 0; ///< Of m_attempts, those not made on this host.
+    unsigned m_grantedAttempts = 0; ///< Of m_attempts, those left to the host of this send.
+    bool m_isCounted = false;       ///< For the retry budget.
+    bool m_toHost = false;          ///< The current send hands the request over.
+    std::string m_helper;           ///< The host that it was last handed over to.
+    std::set<std::string> m_triedHosts;
+    handover_result m_handoverResult; ///< Of the current send, once its response has begun.
     unsigned m_rejections = 0; ///< Sends that an instance rejected without running the request.
     unsigned m_connectFailures = 0;
     unsigned m_unansweredBreaks = 0; ///< Sends cut between the head and the body of the response.
@@ -1115,21 +1417,27 @@
     : m_dependencies(std::move(dependencies))
     , m_activeRequests(std::make_shared<std::set<std::shared_ptr<active_request>>>())
     , m_reportTimer(m_dependencies.io.get_executor())
+    , m_silenceTimer(m_dependencies.io.get_executor())
     , m_livenessCheck(m_dependencies.io, m_dependencies.time, liveness_parameters())
+    , m_path(m_dependencies.io, m_dependencies.time, m_dependencies.state.drawSeed(),
+             [this](bool isLost) { onPathChanged(isLost); })
+    , m_handoverTargets(m_dependencies.state.hostName(), m_dependencies.state.drawSeed())
 { }
 
 forwarder::~forwarder() = default;
 
 void forwarder::handle(http1_request request, std::shared_ptr<response_writer> writer,
-                       request_origin)
+                       request_origin origin)
 {
     try {
+        std::optional<handover_request> handover;
+        if (origin == request_origin::host)
+            handover = takeHandover(request);
         client_request decoded = m_dependencies.wire.decodeRequest(std::move(request));
         const auto active = std::make_shared<active_request>(
-            m_dependencies, m_drain, std::move(decoded), std::move(writer), m_activeRequests,
-            [this] { onCrashEvidence(); },
-            [this](const instance &target) { checkInstance(target); }, m_bufferedBytes);
+            *this, std::move(decoded), std::move(writer), std::move(handover));
         active->start();
+        watchSilence();
     } catch (const request_error &error) {
         logEvent(log_level::info, "request_malformed", {{"error", error.what()}});
         m_dependencies.metrics.responses("none", 400, "malformed").Increment();
@@ -1146,14 +1454,79 @@
             logEvent(log_level::info, "instance_checked",
                      {{"instance", incarnation}, {"state", toString(state)}});
             segment_quarantine &quarantine = m_dependencies.state.quarantine();
-            if (state == liveness::accepting)
+            if (state == liveness::accepting) {
                 quarantine.recordConnectionAccepted(incarnation, openedAt);
-            else if (state == liveness::refusing)
-                quarantine.recordConnectionRefused(incarnation, m_dependencies.time.now());
+                m_path.recordConnected(incarnation, openedAt);
+            } else if (state == liveness::refusing) {
+                onConnectFailed(incarnation);
+            } else {
+                m_path.recordConnectFailed(incarnation);
+            }
             onCrashEvidence();
         });
 }
 
+void forwarder::onConnectFailed(const std::string &incarnation)
+{
+    m_path.recordConnectFailed(incarnation);
+    if (!m_dependencies.state.quarantine().isUnverified(incarnation))
+        return;
+    m_path.awaitPath(incarnation, [this, incarnation](bool isIntact) {
+        if (!isIntact) {
+            logEvent(log_level::info, "crash_evidence_dropped",
+                     {{"instance", incarnation}, {"reason", pathLostCode}});
+            return;
+        }
+        m_dependencies.state.quarantine().recordConnectionRefused(incarnation,
+                                                                  m_dependencies.time.now());
+        onCrashEvidence();
+    });
+}
+
+void forwarder::onPathChanged(bool isLost)
+{
+    m_dependencies.metrics.pathLost.Set(isLost ? 1 : 0);
+    // What was seen of the instances meanwhile is due to the path.
+    m_dependencies.state.discardFailures();
+    if (!isLost)
+        return;
+    m_dependencies.client.closeAllIdleConnections();
+    const time_point now = m_dependencies.time.now();
+    const auto &view = m_dependencies.state.view();
+    for (const auto &service : view->instances) {
+        for (const instance &entry : service.second)
+            m_dependencies.state.quarantine().recordConnectionAccepted(entry.incarnation(), now);
+    }
+    onCrashEvidence();
+    // Not at once: the cause may be a failure that a request is about to handle.
+    boost::asio::post(m_dependencies.io, [activeRequests = m_activeRequests] {
+        // A copy, because a request that finishes removes itself from the set.
+        const auto waiting = *activeRequests;
+        for (const auto &active : waiting)
+            active->onPathLost();
+    });
+}
+
+void forwarder::watchSilence()
+{
+    if (std::exchange(m_watchingSilence, true))
+        return;
+    m_silenceTimer.set(silenceCheckInterval, [this] {
+        m_watchingSilence = false;
+        if (m_activeRequests->empty())
+            return;
+        std::set<std::string> silentInstances;
+        for (const auto &active : *m_activeRequests) {
+            const auto since = active->waitingSince();
+            if (since && m_path.isSilent(*since))
+                silentInstances.insert(active->waitingFor());
+        }
+        if (silentInstances.size() >= minSilentInstances)
+            m_path.testSilence();
+        watchSilence();
+    });
+}
+
 void forwarder::onCrashEvidence()
 {
     segment_quarantine &quarantine = m_dependencies.state.quarantine();
@@ -1181,6 +1554,9 @@
 
 void forwarder::onViewUpdated()
 {
+    const auto &view = m_dependencies.state.view();
+    m_path.setInstances(view->instances);
+    m_handoverTargets.setHosts(view->hostAddresses);
     onCrashEvidence();
     // A copy, because a request that finishes removes itself from the set.
     const auto activeRequests = *m_activeRequests;
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -10,6 +10,8 @@
 /// - A truncated response is never presented to the client as complete.
 /// - Every request gets a final response within its route's timeout.
 /// - When the client disconnects, the upstream request is cancelled at once.
+/// - While this host has lost its path to the instances, requests are handed over to hosts that
+///   have not (handover.h); a request is handed over once at most.
 ///
 /// Not thread-safe: everything runs on the traffic thread.
 
@@ -20,8 +22,10 @@
 
 #include "goldcrestdeck/async_client.h"
 #include "goldcrestdeck/drain_policy.h"
+#include "goldcrestdeck/handover.h"
 #include "goldcrestdeck/liveness_check.h"
 #include "goldcrestdeck/one_shot_timer.h"
+#include "goldcrestdeck/path_watch.h"
 #include "goldcrestdeck/router_metrics.h"
 #include "goldcrestdeck/store_follower.h"
 #include "goldcrestdeck/traffic_state.h"
@@ -72,6 +76,8 @@
     void beginDraining(const drain_schedule &times);
     /// The number of requests in progress.
     std::size_t requestsInProgress() const;
+    /// Whether this host has lost its path to the instances and hands requests over.
+    bool reachesNoInstance() const { return m_path.isLost(); }
     /// Size of all response bodies that are being buffered.
     std::size_t bufferedBytes() const { return m_bufferedBytes; }
 
@@ -82,12 +88,23 @@
     void onCrashEvidence();
     /// Checks whether an instance that has cut a send has crashed.
     void checkInstance(const instance &target);
+    /// A connection to the instance has failed. That it has crashed is only recorded once the path
+    /// to other instances is known to be intact.
+    void onConnectFailed(const std::string &incarnation);
+    void onPathChanged(bool isLost);
+    /// Looks for requests that wait in silence, as long as there are requests.
+    void watchSilence();
 
     forwarder_dependencies m_dependencies;
     std::optional<drain_schedule> m_drain;
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
     one_shot_timer m_reportTimer;
+    one_shot_timer m_silenceTimer;
+    bool m_watchingSilence = false;
     liveness_check m_livenessCheck;
+    path_watch m_path;
+    handover_targets m_handoverTargets;
+    std::size_t m_handedOverRequests = 0; ///< In progress, of other hosts.
     std::size_t m_bufferedBytes = 0;
 };
 
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -36,6 +36,8 @@
           counterFamily(*m_registry, "router_repeats_total", "Requests sent once more, by reason."))
     , m_storeContacts(counterFamily(*m_registry, "router_store_contacts_total",
                                     "Calls to the key-value service that confirmed the view."))
+    , m_handovers(counterFamily(*m_registry, "router_handovers_total",
+                                "Requests handed over to other hosts, by how that ended."))
     , m_firstByteSeconds(histogramFamily(*m_registry, "router_first_byte_seconds",
                                          "Time to an answer's first byte from upstream."))
     , m_responseSeconds(
@@ -51,6 +53,7 @@
                                 "Prompt segments refused because they crash upstreams."))
     , limitedInstances(gauge("router_limited_instances",
                              "Upstream instances that have named a limit on their request rate."))
+    , pathLost(gauge("router_path_lost", "1 while this host reaches no upstream instance."))
 { }
 
 std::string router_metrics::serialize() const
@@ -85,6 +88,11 @@
     return m_storeContacts.Add({{"outcome", outcome}});
 }
 
+prometheus::Counter &router_metrics::handovers(const std::string &outcome)
+{
+    return m_handovers.Add({{"outcome", outcome}});
+}
+
 prometheus::Histogram &router_metrics::firstByteSeconds(const std::string &kind)
 {
     return m_firstByteSeconds.Add({{"kind", kind}}, latencyBuckets);
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -32,6 +32,8 @@
     prometheus::Counter &sends(const std::string &result);
     prometheus::Counter &retries(const std::string &reason);
     prometheus::Counter &storeContacts(const std::string &outcome);
+    /// Requests handed over to other hosts, by how that ended.
+    prometheus::Counter &handovers(const std::string &outcome);
     prometheus::Histogram &firstByteSeconds(const std::string &kind);
     prometheus::Histogram &responseSeconds(const std::string &kind);
 
@@ -43,6 +45,7 @@
     prometheus::Family<prometheus::Counter> &m_streamEnds;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_storeContacts;
+    prometheus::Family<prometheus::Counter> &m_handovers;
     prometheus::Family<prometheus::Histogram> &m_firstByteSeconds;
     prometheus::Family<prometheus::Histogram> &m_responseSeconds;
 
@@ -56,6 +59,7 @@
     prometheus::Gauge &upstreamConnections;
     prometheus::Gauge &quarantinedSegments;
     prometheus::Gauge &limitedInstances;
+    prometheus::Gauge &pathLost; ///< 1 while this host reaches no instance.
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/router_settings.h
+++ b/goldcrestdeck/router_settings.h
@@ -23,8 +23,8 @@
     std::string readyAddress;   ///< "ip:port" for the load balancer's readiness probe.
     std::string metricsAddress; ///< "ip:port"
     std::string peerAddress;    ///< "ip:port" for other hosts.
-    std::string
-        handoverAddress;      ///< "ip:port" for requests that other hosts hand over; port 0: any.
+    /// "ip:port" for requests that other hosts hand over; empty: any port of peerAddress's ip.
+    std::string handoverAddress;
     std::string storeAddress; ///< "ip:port" of the key-value service.
 
     std::chrono::milliseconds heartbeatInterval{1200};  ///< Between registrations of an instance.
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -315,5 +315,128 @@
                          ::testing::Values(relay_cut::hang, relay_cut::reset,
                                            relay_cut::refuseNew));
 
+TEST_F(handover_fixture, whole_domain_without_a_path_is_served_by_the_only_host_that_has_one)
+{
+    constexpr int requests = 30;
+    for (int host = 0; host < 3; ++host)
+        cut(host, relay_cut::hang);
+    for (int host = 0; host < 3; ++host)
+        served(host, 20, seconds(1), "early-" + std::to_string(host) + "-");
+    for (int host = 0; host < 3; ++host) {
+        const std::string prefix = "cut-" + std::to_string(host) + "-";
+        EXPECT_EQ(requests, served(host, requests, seconds(1), prefix));
+        for (int i = 0; i < requests; ++i)
+            EXPECT_EQ(1, executionsOf(prefix + std::to_string(i)));
+    }
+}
+
+TEST_F(handover_fixture, requests_are_refused_at_once_as_not_run_when_no_host_has_a_path)
+{
+    for (int host = 0; host < hostCount; ++host)
+        cut(host, relay_cut::reset);
+    for (int host = 0; host < hostCount; ++host)
+        served(host, 20, seconds(1), "early-" + std::to_string(host) + "-");
+    const auto address = onLoop([&] { return m_hosts[0]->clientAddress(); });
+    for (const std::string id : {"late-1", "late-2", "late-3"}) {
+        const auto before = m_clock.now();
+        raw_http_client client(address);
+        client.send(requestText("POST", "/once/x", id, "", "{}"));
+        const http1_response response = client.read();
+        EXPECT_EQ(503, response.result_int());
+        EXPECT_FALSE(response["Retry-After"].empty());
+        EXPECT_GT(milliseconds(500), m_clock.now() - before);
+        EXPECT_EQ(0, executionsOf(id));
+    }
+}
+
+TEST_F(handover_fixture, host_serves_by_itself_again_when_its_path_is_back)
+{
+    cut(0, relay_cut::hang);
+    served(0, 20, seconds(2), "cut-");
+    EXPECT_TRUE(onLoop([&] { return m_hosts[0]->requests().reachesNoInstance(); }));
+    cut(0, relay_cut::none);
+    EXPECT_TRUE(eventually([&] { return !m_hosts[0]->requests().reachesNoInstance(); }));
+    EXPECT_EQ(20, served(0, 20, seconds(1), "after-"));
+}
+
+TEST_F(handover_fixture, handed_over_request_is_not_handed_on)
+{
+    cut(0, relay_cut::reset);
+    cut(1, relay_cut::reset);
+    served(0, 20, seconds(1), "early-0-");
+    served(1, 20, seconds(1), "early-1-");
+    http1_request request(boost::beast::http::verb::get, "/safe/x", 11);
+    handover_request handover;
+    handover.remainingTime = seconds(2);
+    handover.maxAttempts = 2;
+    handover.configVersion = 1;
+    encodeHandover(handover, request);
+    request.set("Host", "a.example");
+    request.set("X-Request-Id", "r1");
+    request.set("X-Credential", "key-1");
+    const auto address = onLoop([&] { return m_hosts[1]->handoverAddress(); });
+    raw_http_client client(address);
+    client.send(serializeRequest(request));
+    const http1_response response = client.read();
+    EXPECT_EQ(503, response.result_int());
+    EXPECT_EQ("no", response["Goldcrest-Run"]);
+    EXPECT_EQ(pathLostCode, response["Goldcrest-Code"]);
+    EXPECT_EQ(0, executionsOf("r1"));
+}
+
+TEST_F(handover_fixture, host_with_an_older_configuration_does_not_serve_for_another)
+{
+    http1_request request(boost::beast::http::verb::get, "/safe/x", 11);
+    handover_request handover;
+    handover.remainingTime = seconds(2);
+    handover.configVersion = 2;
+    encodeHandover(handover, request);
+    request.set("Host", "a.example");
+    request.set("X-Request-Id", "r1");
+    request.set("X-Credential", "key-1");
+    const auto address = onLoop([&] { return m_hosts[1]->handoverAddress(); });
+    raw_http_client client(address);
+    client.send(serializeRequest(request));
+    EXPECT_EQ(olderConfigCode, client.read()["Goldcrest-Code"]);
+    EXPECT_EQ(0, executionsOf("r1"));
+}
+
+TEST_F(handover_fixture, at_most_once_request_runs_once_when_the_host_that_serves_it_breaks_off)
+{
+    constexpr int requests = 12;
+    for (int host = 1; host < hostCount; ++host)
+        served(host, 3, milliseconds(100), "warm-" + std::to_string(host) + "-");
+    cut(0, relay_cut::reset);
+    served(0, 20, seconds(1), "early-");
+    instance_faults slow;
+    slow.delay = milliseconds(400);
+    setFaults(slow);
+    std::vector<std::future<unsigned>> statuses;
+    statuses.reserve(requests);
+    for (int i = 0; i < requests; ++i)
+        statuses.push_back(std::async(std::launch::async,
+                                      [=] { return sendTo(0, 1, "once-" + std::to_string(i)); }));
+    std::this_thread::sleep_for(milliseconds(150));
+    onLoop([&] { m_hosts[1]->stop(); });
+    for (int i = 0; i < requests; ++i) {
+        const unsigned status = statuses[i].get();
+        EXPECT_TRUE(status == 200 || status == 502) << status;
+        EXPECT_EQ(1, executionsOf("once-" + std::to_string(i)));
+    }
+}
+
+TEST_F(handover_fixture, response_of_another_host_carries_none_of_its_fields_to_the_client)
+{
+    cut(0, relay_cut::reset);
+    served(0, 20, seconds(1), "early-");
+    const auto address = onLoop([&] { return m_hosts[0]->clientAddress(); });
+    raw_http_client client(address);
+    client.send(requestText("GET", "/safe/x", "r1"));
+    const http1_response response = client.read();
+    EXPECT_EQ(200, response.result_int());
+    for (const auto &field : response)
+        EXPECT_NE(0U, std::string(field.name_string()).rfind("Goldcrest-", 0));
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -123,7 +123,10 @@
     /// by default to a file per host.
     void startHost(int index, const std::string &logPath = "")
     {
-        const std::vector<int> ports = freePorts(4);
+        std::vector<int> ports = freePorts(4);
+        // The range leaves no port for handed-over requests, so that the host takes a free one.
+        if (ports[2] < ports[3])
+            std::swap(ports[2], ports[3]);
         const std::string path = m_folder + "/settings-" + std::to_string(index) + ".json";
         std::ofstream file(path);
         file << R"({"node-name": "h)" << index << R"(", "zone": "z", "ip": "127.0.0.1",
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -371,6 +371,18 @@
         slowIntervalRatio * known->second.quantile(intervalQuantile) + slowIntervalSeconds));
 }
 
+void traffic_state::discardFailures()
+{
+    for (auto &entry : m_instances) {
+        instance_state &state = entry.second;
+        state.failureRate = 0;
+        state.outcomes = 0;
+        state.connectFailures = 0;
+        state.brokenSends = 0;
+        state.ejectedUntil = time_point();
+    }
+}
+
 bool traffic_state::recordLeaving(const std::string &incarnation, time_point now)
 {
     return m_leaving.emplace(incarnation, now).second;
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -132,6 +132,11 @@
     /// \returns whether this is news.
     bool recordLeaving(const std::string &incarnation, time_point now);
 
+    /// Forgets failures and broken sends of all instances: this host's own path has caused them.
+    void discardFailures();
+
+    const std::string &hostName() const { return m_settings.name; }
+
     /// Digests of the sessions within the canary share of \a order that this host has recently
     /// routed to the baseline version.
     std::vector<std::uint64_t> baselineSessions(const rollout_order &order, time_point now) const;
@@ -144,6 +149,8 @@
     std::size_t instanceCount(const std::string &service) const;
     /// \returns a uniform random number in [0, 1).
     double draw();
+    /// \returns a seed for another generator of random numbers.
+    std::uint64_t drawSeed() { return m_random(); }
 
 private:
     struct instance_state {
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -76,17 +76,6 @@
         , m_upstreamClient(m_trafficLoop, m_clock)
         , m_trafficState(m_settings, std::random_device()())
         , m_forwarder(forwarderDependencies())
-        , m_handoverServer(openHandoverServer())
-        , m_storeFollower(
-              m_controlLoop, m_clock,
-              platform::bindStore(m_storeClient, m_clock, parseEndpoint(m_settings.storeAddress),
-                                  m_storeEpoch),
-              m_storeEpoch, platform::storeLayout(), registeredSettings(),
-              [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
-              [this](time_point sentAt) { onConfirmed(sentAt); },
-              [this](const rollout_order &order, auto done) {
-                  collectSessions(order, std::move(done));
-              })
         , m_clientServer(m_trafficLoop, parseEndpoint(m_settings.clientAddress), request_limits(),
                          [this](http1_request request, std::shared_ptr<response_writer> writer) {
                              m_forwarder.handle(std::move(request), std::move(writer));
@@ -104,6 +93,17 @@
                                             stateRequested ? m_storeFollower.stateJson().dump()
                                                            : m_routerMetrics.serialize()));
               })
+        , m_handoverServer(openHandoverServer())
+        , m_storeFollower(
+              m_controlLoop, m_clock,
+              platform::bindStore(m_storeClient, m_clock, parseEndpoint(m_settings.storeAddress),
+                                  m_storeEpoch),
+              m_storeEpoch, platform::storeLayout(), registeredSettings(),
+              [this](std::shared_ptr<const routing_view> view) { onView(std::move(view)); },
+              [this](time_point sentAt) { onConfirmed(sentAt); },
+              [this](const rollout_order &order, auto done) {
+                  collectSessions(order, std::move(done));
+              })
         , m_signals(m_controlLoop, SIGTERM, SIGINT, SIGHUP)
         , m_settingsTimer(m_controlLoop)
         , m_drainTimer(m_trafficLoop)
@@ -136,13 +136,15 @@
                     m_forwarder.handle(std::move(request), std::move(writer), request_origin::host);
                 });
         };
-        const asio::ip::tcp::endpoint address = parseEndpoint(m_settings.handoverAddress);
+        const asio::ip::tcp::endpoint anyPort{parseEndpoint(m_settings.peerAddress).address(), 0};
+        if (m_settings.handoverAddress.empty())
+            return open(anyPort);
         try {
-            return open(address);
+            return open(parseEndpoint(m_settings.handoverAddress));
         } catch (const boost::system::system_error &error) {
             logEvent(log_level::warning, "handover_port_taken",
                      {{"address", m_settings.handoverAddress}, {"error", error.what()}});
-            return open({address.address(), 0});
+            return open(anyPort);
         }
     }
 
@@ -351,12 +353,13 @@
     async_client m_upstreamClient;
     traffic_state m_trafficState;
     forwarder m_forwarder;
-    std::unique_ptr<async_server> m_handoverServer;
-    store_epoch m_storeEpoch;
-    store_follower m_storeFollower;
     async_server m_clientServer;
     async_server m_readinessServer;
     async_server m_metricsServer;
+    // After the other listeners, whose ports are fixed.
+    std::unique_ptr<async_server> m_handoverServer;
+    store_epoch m_storeEpoch;
+    store_follower m_storeFollower;
     asio::signal_set m_signals;
     asio::steady_timer m_settingsTimer;
     asio::steady_timer m_drainTimer;
--- a/soak/soak_cluster.cc
+++ b/soak/soak_cluster.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_cluster.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -97,8 +98,11 @@
     std::ofstream file(entry.settingsPath);
     file << R"({"node-name": "h)" << index << R"(", "zone": "z", "ip": "127.0.0.1",
              "listen": {"front": "127.0.0.1:)"
-         << ports[0] << R"(", "ready": "127.0.0.1:)" << ports[1] << R"("}, "internal-ports": [)"
-         << ports[2] << ", " << ports[3] << R"(], "heartbeat-ms": 100000,
+         << ports[0] << R"(", "ready": "127.0.0.1:)" << ports[1]
+         << R"("}, "internal-ports": [)"
+         // The range leaves no port for handed-over requests, so that the host takes a free one.
+         << std::max(ports[2], ports[3]) << ", " << std::min(ports[2], ports[3])
+         << R"(], "heartbeat-ms": 100000,
              "bounds": {"config-apply-ms": 800, "drain-ms": 800, "grace-s": 8},
              "platform": {"address": "127.0.0.1:)"
          << ports[4] << "\"}}";
