Hosts divide the slots of instances that bear few rejections

An instance that says so falls over when all hosts together make it reject more than it bears in a second. Cause: no code read the field; every host learns by a rejection of its own that an instance is full, and 6, 60 or 300 rejections in the same second are too many. Change: brittle_services divides the slots of each instance of such a service among the hosts that rank first for it, without communication; a rejection closes the instance to that host for (hosts with a place) / (rejections borne). A request for which its host has no place is handed over once to a host that has one, else refused as not run.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -424,13 +424,24 @@
             }
         }
         if (mayHandOver()) {
-            sendToHost();
+            const auto target = m_triedHosts.size() < maxHandoverTries
+                ? m_owner.m_handoverTargets.choose(m_triedHosts, time)
+                : std::nullopt;
+            if (target)
+                sendToHost(*target, pathLostCode);
+            else
+                finishFailed(pathLostCode);
             return;
         }
         const placement_request placement = placementRequest();
         const auto chosen = m_state.choose(placement, time);
         if (!chosen) {
-            finishFailed(m_state.isRateLimited(m_service) ? "instances_at_limit" : "no_instance");
+            const auto target = hostWithPlace();
+            if (target)
+                sendToHost(*target, "no_place");
+            else
+                finishFailed(m_state.isRateLimited(m_service) || isBrittle() ? "instances_at_limit"
+                                                                             : "no_instance");
             return;
         }
         const boost::asio::ip::tcp::endpoint endpoint = parseEndpoint(chosen->target.address);
@@ -475,18 +486,23 @@
     /// another host is not handed on.
     bool mayHandOver() const { return !m_handover && m_owner.m_path.isLost(); }
 
-    /// Hands the request over to another host, or ends it if there is none.
-    void sendToHost()
+    bool isBrittle() const { return m_state.brittleServices().isBrittle(m_service, now()); }
+
+    /// \returns a host that may have a place at the brittle instances of the service, at which this
+    /// host has none. One such host is tried at most.
+    std::optional<registered_host> hostWithPlace()
+    {
+        if (m_handover || !m_triedHosts.empty() || !isBrittle())
+            return std::nullopt;
+        const std::set<std::string> hosts = m_state.hostsWithPlaces(m_service);
+        return m_owner.m_handoverTargets.choose(m_triedHosts, now(), &hosts);
+    }
+
+    /// Hands the request over to another host.
+    void sendToHost(const registered_host &target, const char *reason)
     {
         const time_point time = now();
-        const auto target = m_triedHosts.size() < maxHandoverTries
-            ? m_owner.m_handoverTargets.choose(m_triedHosts, time)
-            : std::nullopt;
-        if (!target) {
-            finishFailed(pathLostCode);
-            return;
-        }
-        m_helper = target->name;
+        m_helper = target.name;
         m_triedHosts.insert(m_helper);
         m_owner.m_handoverTargets.recordBegin(m_helper);
         const unsigned attemptsLeft
@@ -512,6 +528,7 @@
         logEvent(log_level::info, "request_handed_over",
                  {{"request", m_request.id},
                   {"host", m_helper},
+                  {"reason", reason},
                   {"remaining_ms", std::to_string(handover.remainingTime.count())},
                   {"attempts", std::to_string(handover.maxAttempts)},
                   {"deliveries", std::to_string(handover.deliveries)},
@@ -525,8 +542,8 @@
         encodeHandover(handover, message);
         call_options options;
         options.maxIdleFraction = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
-        m_call = m_dependencies.client.call(parseEndpoint(target->handoverAddress),
-                                            "host " + m_helper + ' ' + target->handoverAddress,
+        m_call = m_dependencies.client.call(parseEndpoint(target.handoverAddress),
+                                            "host " + m_helper + ' ' + target.handoverAddress,
                                             message, observer(), std::move(options));
     }
 
@@ -784,6 +801,7 @@
         }
         m_owner.m_path.recordBytes();
         recordRateLimit();
+        recordBrittleness();
         recordLeaving();
         if (m_metadata.notExecuted)
             return;
@@ -837,6 +855,31 @@
         m_dependencies.reportRateLimit({incarnation, m_metadata.rateLimit});
     }
 
+    /// Records whether the instance says in its response that it bears few rejections.
+    void recordBrittleness()
+    {
+        if (m_metadata.wrongInstance)
+            return;
+        const std::string incarnation = m_chosen.target.incarnation();
+        if (m_metadata.malformedBearableRejections) {
+            logEvent(log_level::warning, "instance_brittleness_malformed",
+                     {{"request", m_request.id},
+                      {"instance", incarnation},
+                      {"text", *m_metadata.malformedBearableRejections}});
+            return;
+        }
+        const auto &named = m_metadata.bearableRejections;
+        if (!m_state.brittleServices().recordResponse(m_service, named, m_sentAt, now()))
+            return;
+        m_dependencies.metrics.brittleServices.Set(
+            static_cast<double>(m_state.brittleServices().brittleCount()));
+        logEvent(log_level::info, named ? "service_brittle" : "service_not_brittle",
+                 {{"request", m_request.id},
+                  {"service", m_service},
+                  {"instance", incarnation},
+                  {"rejections_per_second", named ? std::to_string(*named) : ""}});
+    }
+
     /// Records that the instance says in its response that it leaves.
     void recordLeaving()
     {
--- a/goldcrestdeck/handover.cc
+++ b/goldcrestdeck/handover.cc
@@ -155,13 +155,15 @@
 }
 
 std::optional<registered_host> handover_targets::choose(const std::set<std::string> &tried,
-                                                        time_point now)
+                                                        time_point now,
+                                                        const std::set<std::string> *allowed)
 {
     std::vector<const registered_host *> usable;
     std::vector<const registered_host *> preferred;
     for (const registered_host &host : *m_hosts) {
         const auto state = m_states.find(host.name);
         if (host.name == m_self || host.handoverAddress.empty() || tried.count(host.name) > 0
+            || (allowed != nullptr && allowed->count(host.name) == 0)
             || (state != m_states.end() && now < state->second.unusableUntil))
             continue;
         usable.push_back(&host);
--- a/goldcrestdeck/handover.h
+++ b/goldcrestdeck/handover.h
@@ -83,8 +83,9 @@
 
     /// \returns the host to hand a request over to: the less loaded of two random ones that have
     /// not failed lately. Hosts of a failure domain in which one has lost its path come last. Never
-    /// one of \a tried. nullopt if there is none.
-    std::optional<registered_host> choose(const std::set<std::string> &tried, time_point now);
+    /// one of \a tried, and only one of \a allowed if that is not null. nullopt if there is none.
+    std::optional<registered_host> choose(const std::set<std::string> &tried, time_point now,
+                                          const std::set<std::string> *allowed = nullptr);
     void recordBegin(const std::string &host);
     void recordEnd(const std::string &host, handover_end end, time_point now);
 
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -53,6 +53,8 @@
                                 "Prompt segments refused because they crash upstreams."))
     , limitedInstances(gauge("router_limited_instances",
                              "Upstream instances that have named a limit on their request rate."))
+    , brittleServices(
+          gauge("router_brittle_services", "Services whose instances bear few rejections."))
     , pathLost(gauge("router_path_lost", "1 while this host reaches no upstream instance."))
 { }
 
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -59,6 +59,7 @@
     prometheus::Gauge &upstreamConnections;
     prometheus::Gauge &quarantinedSegments;
     prometheus::Gauge &limitedInstances;
+    prometheus::Gauge &brittleServices;
     prometheus::Gauge &pathLost; ///< 1 while this host reaches no instance.
 };
 
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -1108,5 +1108,66 @@
     EXPECT_LT(before, requestsReceived());
 }
 
+/// A service "crowded" at /crowded/ with one instance, whose two slots bear few rejections.
+class brittle_service_fixture : public router_fixture
+{
+protected:
+    static constexpr int requestCount = 12;
+
+    brittle_service_fixture()
+    {
+        route crowdedRoute = m_config.routes[0];
+        crowdedRoute.name = "/crowded/";
+        crowdedRoute.prefix = "/crowded/";
+        crowdedRoute.services = {{"crowded", 1}};
+        m_config.routes.push_back(crowdedRoute);
+        m_crowded = &addInstance("crowded", "crowded-1");
+        m_instances["crowded"][0].slots = 2;
+        publish();
+    }
+
+    void setBrittle(const std::string &rejections)
+    {
+        instance_faults faults;
+        faults.brittle = rejections;
+        faults.delay = milliseconds(200);
+        onLoop([&] { m_crowded->setFaults(faults); });
+    }
+
+    /// Sends requests at once. \returns how many are refused, each as not run.
+    int refusedOf(const std::string &prefix)
+    {
+        std::vector<std::future<http1_response>> responses;
+        responses.reserve(requestCount);
+        for (int i = 0; i < requestCount; ++i)
+            responses.push_back(std::async(std::launch::async, [=] {
+                return sendRequest(requestText("GET", "/crowded/x", prefix + std::to_string(i)));
+            }));
+        int refused = 0;
+        for (int i = 0; i < requestCount; ++i) {
+            const http1_response response = responses[i].get();
+            if (response.result_int() == 200)
+                continue;
+            ++refused;
+            EXPECT_EQ(503, response.result_int());
+            EXPECT_FALSE(response["Retry-After"].empty());
+            EXPECT_EQ(0, executionsOf(prefix + std::to_string(i)));
+        }
+        return refused;
+    }
+
+    platform_instance *m_crowded = nullptr;
+};
+
+TEST_F(brittle_service_fixture, instance_that_bears_few_rejections_gets_no_more_than_its_slots)
+{
+    setBrittle("3");
+    sendRequest(requestText("GET", "/crowded/x", "first"));
+    EXPECT_EQ(requestCount - 2, refusedOf("brittle-"));
+    setBrittle("");
+    sendRequest(requestText("GET", "/crowded/x", "second"));
+    EXPECT_EQ(0, refusedOf("usual-"));
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/upstream_reachability_test.cc
+++ b/goldcrestdeck/testing/upstream_reachability_test.cc
@@ -175,7 +175,7 @@
         const std::string name(field.name_string());
         if (name == "Goldcrest-Service")
             continue;
-        for (const char *text : {"", "-1", "x", "1 ", "99999999999999999999"}) {
+        for (const char *text : {"", "-1", "x", "1x", "99999999999999999999"}) {
             http_fields damaged = complete;
             damaged.set(name, text);
             EXPECT_THROW(takeHandover(damaged), request_error) << name << ' ' << text;
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -82,6 +82,7 @@
     , m_prefixIndex(promptCacheLifetime)
     , m_quarantine(quarantine_parameters())
     , m_rateLimits(settings.name, seed)
+    , m_brittleServices(settings.name)
     , m_answerDraw(drawOnce(seed))
 { }
 
@@ -110,6 +111,7 @@
     }
     m_quarantine.setAnswerDelay(suppressionDelay(m_answerDraw, view->fleetSize, maxAnswerDelay));
     m_rateLimits.setHosts(view->hosts, view->fleetSize);
+    m_brittleServices.setHosts(view->hosts);
     for (const auto &entry : view->rateLimits) {
         if (!m_view || !isKnown(m_view->rateLimits, entry))
             m_rateLimits.recordReport(entry.second->report, entry.second->receivedAt);
@@ -282,6 +284,8 @@
     switch (result) {
     case send_result::refused:
         state.refusedUntil = now + refusalBackOff;
+        m_brittleServices.recordRejection(chosen.target.service, chosen.target.incarnation(),
+                                          chosen.target.slots, now);
         state.connectFailures = 0;
         return 0;
     case send_result::unreachable:
@@ -434,11 +438,15 @@
 
 void traffic_state::removeLimited(std::vector<const instance *> &instances, time_point now) const
 {
-    if (m_rateLimits.limitedCount() == 0)
+    if (m_rateLimits.limitedCount() == 0 && m_brittleServices.brittleCount() == 0)
         return;
     const auto isLimited = [&](const instance *entry) {
         const auto next = m_rateLimits.nextSendAt(entry->incarnation(), now);
-        return !next || *next > now;
+        if (!next || *next > now)
+            return true;
+        const auto state = m_instances.find(entry->incarnation());
+        const double inFlight = state == m_instances.end() ? 0 : state->second.inFlight;
+        return !m_brittleServices.maySend(*entry, inFlight, now);
     };
     instances.erase(std::remove_if(instances.begin(), instances.end(), isLimited), instances.end());
 }
@@ -469,6 +477,14 @@
         0);
 }
 
+std::set<std::string> traffic_state::hostsWithPlaces(const std::string &service) const
+{
+    const auto found = m_view->instances.find(service);
+    if (found == m_view->instances.end())
+        return {};
+    return m_brittleServices.hostsWithPlaces(found->second);
+}
+
 std::optional<time_point> traffic_state::nextSendAt(const std::string &service,
                                                     time_point now) const
 {
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 
+#include "goldcrestdeck/brittle_services.h"
 #include "goldcrestdeck/instance_rate_limits.h"
 #include "goldcrestdeck/placement.h"
 #include "goldcrestdeck/recent_values.h"
@@ -145,6 +146,9 @@
     segment_quarantine &quarantine() { return m_quarantine; }
 
     instance_rate_limits &rateLimits() { return m_rateLimits; }
+    brittle_services &brittleServices() { return m_brittleServices; }
+    /// Hosts that may have a place for a request to \a service, whose instances are brittle.
+    std::set<std::string> hostsWithPlaces(const std::string &service) const;
 
     std::size_t instanceCount(const std::string &service) const;
     /// \returns a uniform random number in [0, 1).
@@ -210,6 +214,7 @@
     prompt_prefix_index m_prefixIndex;
     segment_quarantine m_quarantine;
     instance_rate_limits m_rateLimits;
+    brittle_services m_brittleServices;
     /// Incarnations that have said that they leave, with the time at which they did.
     std::map<std::string, time_point> m_leaving;
     double m_answerDraw; ///< Determines how long this host waits before it reports an answer.
--- a/goldcrestdeck/wire_format.h
+++ b/goldcrestdeck/wire_format.h
@@ -67,6 +67,10 @@
     /// responses say so.
     std::optional<double> rateLimit;
     std::optional<std::string> malformedRateLimit; ///< The field's text if it is not a number.
+    /// Rejections a second that the instance bears from all hosts together, for as long as its
+    /// responses say so; beyond that it fails.
+    std::optional<double> bearableRejections;
+    std::optional<std::string> malformedBearableRejections; ///< The field's text likewise.
     bool leaving = false; ///< The instance is about to stop and wants no more requests.
 };
 
