--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -551,7 +551,7 @@
     void onHostHead()
     {
         const auto result = takeHandoverResult(m_head);
-        m_handoverResult = result.value_or(handover_result());
+        m_handoverResult = result;
         if (!result)
             logEvent(log_level::warning, "handover_result_malformed",
                      {{"request", m_request.id}, {"host", m_helper}});
@@ -569,7 +569,14 @@
     /// The end of a response from the host that serves the request, other than of a stream.
     void onHostEnd()
     {
-        const handover_result result = m_handoverResult;
+        if (!m_handoverResult) {
+            // The host has not understood the request, or another process listens there.
+            endHostSend(handover_end::unreachable, "malformed");
+            m_mayHaveRun = true;
+            finishFailed("handover_malformed");
+            return;
+        }
+        const handover_result result = *m_handoverResult;
         const bool notRun = result.refusedRun == execution_state::no;
         if (notRun && mayOtherHostServe(result.refusalCode)) {
             endHostSend(result.refusalCode == pathLostCode ? handover_end::pathLost
@@ -1424,7 +1431,7 @@
     bool m_toHost = false;          ///< The current send hands the request over.
     std::string m_helper;           ///< The host that it was last handed over to.
     std::set<std::string> m_triedHosts;
-    handover_result m_handoverResult; ///< Of the current send, once its response has begun.
+    std::optional<handover_result> m_handoverResult; ///< Of the current send, with its head.
     unsigned m_rejections = 0; ///< Sends that an instance rejected without running the request.
     unsigned m_connectFailures = 0;
     unsigned m_unansweredBreaks = 0; ///< Sends cut between the head and the body of the response.
