A stream that was handed over goes on with the model that it began with

Change: no upgrade for a handed-over stream of which the client has events. Measured: handed_over_stream_goes_on_after_its_last_event_with_the_same_model; without the change the instances execute the request twice (by reading; the test was not run before the change). Conclusion: fixed.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -820,7 +820,8 @@
         if (!isEventStream(head))
             return;
         m_mode = response_mode::eventStream;
-        if (m_streaming)
+        // The client has events of this model already, from this host or the one that handed over.
+        if (m_streaming || (m_handover && m_handover->lastEventId))
             return;
         const auto next = largerModel();
         if (next && canUpgrade(*next)) {
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -384,6 +384,37 @@
     EXPECT_EQ(0, executionsOf("r1"));
 }
 
+TEST_F(handover_fixture, handed_over_stream_goes_on_after_its_last_event_with_the_same_model)
+{
+    instance_faults unsure;
+    unsure.confidence = 0;
+    unsure.events = 5;
+    setFaults(unsure);
+    http1_request request(boost::beast::http::verb::post, "/stream/x", 11);
+    handover_request handover;
+    handover.remainingTime = seconds(2);
+    handover.maxAttempts = 2;
+    handover.deliveries = 1;
+    handover.lastEventId = 2;
+    handover.service = "engine";
+    encodeHandover(handover, request);
+    request.set("Host", "a.example");
+    request.set("X-Request-Id", "r1");
+    request.set("X-Credential", "key-1");
+    request.set("X-Model", "*");
+    request.body() = "{}";
+    request.content_length(2);
+    const auto address = onLoop([&] { return m_hosts[1]->handoverAddress(); });
+    raw_http_client client(address);
+    client.send(serializeRequest(request));
+    const http1_response response = client.read();
+    std::string rest;
+    for (int i = 3; i <= 5; ++i)
+        rest += platform_instance::eventText(i);
+    EXPECT_EQ(rest, response.body());
+    EXPECT_EQ(1, executionsOf("r1"));
+}
+
 TEST_F(handover_fixture, host_with_an_older_configuration_does_not_serve_for_another)
 {
     http1_request request(boost::beast::http::verb::get, "/safe/x", 11);
