--- a/review/tools/cluster.h
+++ b/review/tools/cluster.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_TOOLS_CLUSTER_H_
-#define REVIEW_TOOLS_CLUSTER_H_
+#ifndef REVIEW_TOOLS_CLUSTER_HPP_
+#define REVIEW_TOOLS_CLUSTER_HPP_
 
 /// \file
 /// A small deployment on loopback for the scripts of the review: router processes, started with the
@@ -23,6 +23,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -270,10 +271,15 @@
         const std::string log = m_folder + '/' + name + ".log";
         const pid_t pid = fork();
         if (pid == 0) {
+            // The router ends with this process, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             setenv("GOLDCRESTDECK_CONFIG", path.c_str(), 1);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
+            // The router must not keep the stand-ins' listening sockets open.
+            for (int fd = 3; fd < 1024; ++fd)
+                close(fd);
             execl("target/goldcrest_routerd", "target/goldcrest_routerd", nullptr);
             _exit(127);
         }
@@ -288,6 +294,12 @@
         }
         return 0;
     }
+    bool hasEnded(const std::string &router) const
+    {
+        siginfo_t info{};
+        const auto pid = static_cast<id_t>(m_processes.at(router).pid);
+        return waitid(P_PID, pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid != 0;
+    }
     /// The lines of a router's log that contain \a text.
     std::vector<std::string> logLines(const std::string &router, const std::string &text) const
     {
@@ -344,7 +356,7 @@
                 std::this_thread::sleep_for(milliseconds(100));
             onLoop([this] {
                 for (auto &entry : m_instances) {
-                    if (!entry.second.stopped)
+                    if (!entry.second.stopped && !entry.second.standin->hasCrashed())
                         beat(entry.first);
                 }
             });
@@ -365,4 +377,4 @@
 
 } // namespace review
 
-#endif // REVIEW_TOOLS_CLUSTER_H_
+#endif // REVIEW_TOOLS_CLUSTER_HPP_
