--- a/review/tools/cluster.hpp
+++ b/review/cluster.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_TOOLS_CLUSTER_HPP_
-#define REVIEW_TOOLS_CLUSTER_HPP_
+#ifndef REVIEW_CLUSTER_HPP_
+#define REVIEW_CLUSTER_HPP_
 
 /// \file
 /// A small deployment on loopback for the scripts of the review: router processes, started with the
@@ -377,4 +377,4 @@
 
 } // namespace review
 
-#endif // REVIEW_TOOLS_CLUSTER_HPP_
+#endif // REVIEW_CLUSTER_HPP_
--- a/review/tools/odd_request_id.cpp
+++ b/review/odd_request_id.cpp
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "review/tools/cluster.hpp"
+#include "review/cluster.hpp"
 
 namespace {
 
