Sessions keep their version under the next order, not the side it was on

Nothing failed, but a conversation went on with another version.

Cause: traffic_state kept the side of a session's last send. The target of a completed order is on the candidate's side; as soon as the next order was read, the same entry meant the new target, and chooseSide() sent the session there without regard to its position.

Ruled out: session lists alone (the sessions stay on their host), and idle time counted from the send (would move the canary's 7 %).

Change: the version is kept and its side derived. The same for other values that are relative to an order: session lists for other hosts, outcomes of sends that end under a later order (ignored; they could have a new version judged bad before its first request), latencies after the completion (learned as the baseline's), and the versions that a request has failed on.

Tests: successive_orders_fixture.* and large_fleet_fixture.outcome_of_a_send_under_an_earlier_order_is_no_evidence.

Records and messages keep their form.

--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -408,7 +408,7 @@
         placement.prompt = &m_request.promptSegments;
         placement.promptTokens = static_cast<double>(m_request.promptTokens);
         placement.triedIncarnations = m_triedIncarnations;
-        placement.avoidCandidate = m_failedOnCandidate;
+        placement.failedVersions = m_failedVersions;
         return placement;
     }
 
@@ -691,7 +691,13 @@
         if (m_outcomeReported)
             return;
         m_outcomeReported = true;
-        m_dependencies.reportOutcome({m_service, m_route->name, m_chosen.side, false, true});
+        reportOutcome(false, true);
+    }
+
+    void reportOutcome(bool failed, bool slow)
+    {
+        m_dependencies.reportOutcome(
+            {m_service, m_route->name, m_chosen.orderRevision, m_chosen.side, failed, slow});
     }
 
     /// Takes the mean interval between the events of the current stream over its first events, or
@@ -908,7 +914,9 @@
         const duration latency = now() - m_sentAt;
         m_firstByteLatency = latency;
         m_state.recordFirstByte(m_chosen, latency);
-        if (m_state.recordLatency(m_route->name, model(), m_chosen.side, latency))
+        const version_side side
+            = isOnCandidate() ? version_side::candidate : version_side::baseline;
+        if (m_state.recordLatency(m_route->name, model(), side, latency))
             reportSlow();
         m_dependencies.metrics.firstByteSeconds(toString(m_route->kind))
             .Observe(std::chrono::duration<double>(latency).count());
@@ -1205,15 +1213,13 @@
             = m_state.recordEnd(m_chosen, m_responseBegun, result, now());
         m_dependencies.metrics.sends(outcome).Increment();
         const bool failed = result == send_result::failed;
-        if ((failed || result == send_result::broken) && m_chosen.side == version_side::candidate)
-            m_failedOnCandidate = true;
+        if (failed || result == send_result::broken)
+            m_failedVersions.insert(m_chosen.target.version);
         if (m_chosen.inRollout && (failed || result == send_result::answered)) {
             if (!m_outcomeReported)
-                m_dependencies.reportOutcome(
-                    {m_service, m_route->name, m_chosen.side, failed, m_slow});
+                reportOutcome(failed, m_slow);
             for (unsigned i = 0; i < earlierBrokenSends; ++i)
-                m_dependencies.reportOutcome(
-                    {m_service, m_route->name, m_chosen.side, true, false});
+                reportOutcome(true, false);
         }
         m_slowTimer.cancel();
         if (result != send_result::answered)
@@ -1421,6 +1427,7 @@
     chosen_instance m_chosen;
     async_client::call_handle m_call;
     std::set<std::string> m_triedIncarnations;
+    std::set<std::string> m_failedVersions;
     std::set<std::string> m_everTried; ///< Like m_triedIncarnations, but never cleared.
     std::string m_retryReason;         ///< Label of the next retry in the metrics.
     unsigned m_sends = 0;              ///< Also the number of the current send.
@@ -1451,7 +1458,6 @@
     time_point m_firstEventAt;       ///< Of the current send.
     time_point m_lastEventAt;        ///< Of the current send.
     bool m_mayHaveRun = false;
-    bool m_failedOnCandidate = false;
     bool m_streaming = false;        ///< The response head has been sent to the client.
     bool m_allEventsNumbered = true; ///< Every event so far had an id, as resuming requires.
     response_mode m_mode = response_mode::none;
--- a/goldcrestdeck/rollout_member.cc
+++ b/goldcrestdeck/rollout_member.cc
@@ -191,11 +191,13 @@
     return true;
 }
 
-void rollout_member::recordOutcome(const request_outcome &outcome, time_point now)
+bool rollout_member::recordOutcome(const request_outcome &outcome, time_point now)
 {
     const auto order = m_orders.find(outcome.service);
-    if (order == m_orders.end())
-        return;
+    if (order == m_orders.end()
+        || (outcome.orderRevision != order->second.revision
+            && outcome.orderRevision != order->second.previousRevision))
+        return false;
     local_state &local = localState(order->second);
     applyDecay(local, now);
     const bool candidate = outcome.side == version_side::candidate;
@@ -206,6 +208,7 @@
         local.candidateOutcomes += 1;
         local.unreportedBadOutcomes += outcome.failed || slow ? 1 : 0;
     }
+    return true;
 }
 
 void rollout_member::finishWrite(const std::string &service, bool conflict, time_point now)
--- a/goldcrestdeck/rollout_member.h
+++ b/goldcrestdeck/rollout_member.h
@@ -29,6 +29,7 @@
 struct request_outcome {
     std::string service;
     std::string route;
+    std::uint64_t orderRevision = 0; ///< Of the order that \a side refers to.
     version_side side = version_side::baseline;
     bool failed = false;
     bool slow = false;
@@ -82,7 +83,9 @@
     bool updateSessions(const std::string &service, const std::string &host,
                         std::uint64_t orderRevision, const std::vector<std::uint64_t> &digests);
 
-    void recordOutcome(const request_outcome &outcome, time_point now);
+    /// Ignores the outcome of a send that was chosen under another order than the current one.
+    /// \returns whether it was counted.
+    bool recordOutcome(const request_outcome &outcome, time_point now);
     void handleRestoredStore(time_point now);
     /// The operator has written its orders again by now: those that are still missing are dropped,
     /// and those that only the copy had are followed. \returns whether the view has changed.
--- a/goldcrestdeck/store_follower.cc
+++ b/goldcrestdeck/store_follower.cc
@@ -223,9 +223,9 @@
 
 void store_follower::recordOutcome(const request_outcome &outcome)
 {
-    m_rollouts.recordOutcome(outcome, m_clock.now());
+    const bool isCounted = m_rollouts.recordOutcome(outcome, m_clock.now());
     const bool bad = outcome.failed || outcome.slow;
-    if (bad && outcome.side == version_side::candidate)
+    if (isCounted && bad && outcome.side == version_side::candidate)
         advanceRollouts();
 }
 
--- a/goldcrestdeck/traffic_state.cc
+++ b/goldcrestdeck/traffic_state.cc
@@ -74,6 +74,12 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+/// The side of an order to \a target that \a version is on.
+version_side sideOf(const std::string &version, const std::string &target)
+{
+    return version == target ? version_side::candidate : version_side::baseline;
+}
+
 } // namespace
 
 traffic_state::traffic_state(const router_settings &settings, std::uint64_t seed)
@@ -143,7 +149,7 @@
     removeLimited(eligibleInstances, now);
     // Limits never move a request to the candidate, nor a session off its version.
     if (eligibleInstances.empty() && side == version_side::candidate
-        && lastSideOf(request, now) != version_side::candidate) {
+        && lastSideOf(request, target, now) != version_side::candidate) {
         side = version_side::baseline;
         eligibleInstances = instancesOf(request, side, target, false);
         removeLimited(eligibleInstances, now);
@@ -191,7 +197,10 @@
     chosen_instance chosen;
     chosen.target = *eligibleInstances[best];
     chosen.side = side;
-    chosen.inRollout = inRollout;
+    if (inRollout) {
+        chosen.orderRevision = rollout->second.order.revision;
+        chosen.inRollout = rollout->second.record.stage != rollout_stage::completed;
+    }
     chosen.model = request.model;
     chosen.weight = weight;
     chosen.uncachedTokens = options[best].uncachedTokens / weight;
@@ -213,7 +222,7 @@
         m_prefixIndex.recordPrompt(*request.prompt, request.model, incarnation, now);
     if (!chosen.session.empty()) {
         session_entry &session = m_sessions[{request.service, chosen.session}];
-        session = {chosen.side, now, session.inFlight + 1};
+        session = {chosen.target.version, now, session.inFlight + 1};
     }
     const auto rollout = m_view->rollouts.find(request.service);
     if (rollout == m_view->rollouts.end())
@@ -400,7 +409,7 @@
     std::vector<std::uint64_t> digests;
     for (const auto &known : m_sessions) {
         if (known.first.first == order.service && isRecent(known.second, now)
-            && known.second.side == version_side::baseline
+            && sideOf(known.second.version, order.target) == version_side::baseline
             && sessionPosition(order.service, order.target, known.first.second) < share)
             digests.push_back(sessionDigest(order.service, known.first.second));
     }
@@ -428,9 +437,8 @@
     if (found == m_view->instances.end())
         return usable;
     for (const instance &entry : found->second) {
-        const bool isCandidate = entry.version == target;
         if (!entry.draining && m_leaving.count(entry.incarnation()) == 0
-            && (anyVersion || isCandidate == (side == version_side::candidate)))
+            && (anyVersion || sideOf(entry.version, target) == side))
             usable.push_back(&entry);
     }
     return usable;
@@ -519,14 +527,15 @@
         record.stage = rollout_stage::rolledBack;
     const rollout_stage stage = record.stage;
     session_history history;
-    history.lastSide = lastSideOf(request, now);
+    history.lastSide = lastSideOf(request, rollout.order.target, now);
     history.wasOnBaseline = rollout.baselineSessions
         && rollout.baselineSessions->count(sessionDigest(request.service, request.sessionKey)) > 0;
     const bool isViewCurrent = now - m_confirmedAt < maxRolloutViewAge;
     const auto meter = m_exposureMeters.find(request.service);
     const bool isWithinExposureBound = meter == m_exposureMeters.end()
         || meter->second.first != rollout.order.revision || meter->second.second.mayExpose();
-    const bool mayExpose = isViewCurrent && !request.avoidCandidate
+    const bool hasFailedOnCandidate = request.failedVersions.count(rollout.order.target) > 0;
+    const bool mayExpose = isViewCurrent && !hasFailedOnCandidate
         && (stage != rollout_stage::canary || isWithinExposureBound);
     const rollout_parameters parameters = rolloutParameters(m_settings);
     const double share
@@ -537,12 +546,13 @@
 }
 
 std::optional<version_side> traffic_state::lastSideOf(const placement_request &request,
+                                                      const std::string &target,
                                                       time_point now) const
 {
     const auto session = m_sessions.find({request.service, request.sessionKey});
     if (session == m_sessions.end() || !isRecent(session->second, now))
         return std::nullopt;
-    return session->second.side;
+    return sideOf(session->second.version, target);
 }
 
 double traffic_state::modelWeight(const std::string &service, const std::string &model) const
--- a/goldcrestdeck/traffic_state.h
+++ b/goldcrestdeck/traffic_state.h
@@ -36,13 +36,15 @@
     double promptTokens = 0;
     /// Incarnations that have already received the request; chosen again only if no other is left.
     std::set<std::string> triedIncarnations;
-    bool avoidCandidate = false; ///< The request has failed on the candidate version.
+    std::set<std::string> failedVersions; ///< Versions that the request has failed on.
 };
 
 struct chosen_instance {
     instance target;
     version_side side = version_side::baseline;
+    /// Whether the service has a rollout whose outcome matters: one that is not completed.
     bool inRollout = false;
+    std::uint64_t orderRevision = 0; ///< Of that rollout's order, which \a side refers to.
     std::string model;
     double weight = 1;         ///< Model cost relative to the service's most expensive model.
     double uncachedTokens = 0; ///< Prompt tokens not expected in the instance's cache.
@@ -170,7 +172,8 @@
         time_point ejectedUntil;
     };
     struct session_entry {
-        version_side side = version_side::baseline;
+        /// Of the last send. The version itself, because a side says nothing under another order.
+        std::string version;
         time_point lastActivity; ///< Last send or completion of a request.
         int inFlight = 0;
     };
@@ -191,8 +194,10 @@
                            const placement_request &request, time_point now) const;
     version_side chooseVersion(const placement_request &request, const service_rollout &rollout,
                                time_point now);
-    /// The version that the request's session was last sent to; nullopt if that is not recent.
-    std::optional<version_side> lastSideOf(const placement_request &request, time_point now) const;
+    /// The side of an order to \a target that the request's session was last sent to; nullopt if
+    /// that is not recent.
+    std::optional<version_side> lastSideOf(const placement_request &request,
+                                           const std::string &target, time_point now) const;
     retry_allowance &retryAllowance(const std::string &service);
     bool isRecent(const session_entry &entry, time_point now) const;
     void expire(time_point now);
