What one instance sends can take up a share of a host's memory only

Whether it happens here: yes, by sum.

Cause: bounds on single responses, none on what one sender makes a host hold.

Change: response_memory counts buffered bodies, unfinished events, unparsed bytes and what slow clients of streams have not read, with a share for each sender. A response that is refused ends as malformed, its connection is closed and not drained. Limits on what precedes a response. An unfinished event is searched once, not again with each piece.

The former limit of 48 MB for responses larger than 1 MB goes; forwarder::bufferedBytes() with it, the test that used it reads response_memory::total().

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -33,6 +33,11 @@
 constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
 /// Limit on bytes that the parser cannot consume yet, such as a chunk size with its extensions.
 constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeadBytes;
+/// Limit on the informational responses before a response.
+constexpr unsigned maxInformationalResponses = 16;
+/// Limit on what arrives before the head of the response: informational responses, and responses
+/// to earlier requests, which are discarded.
+constexpr std::size_t maxBytesBeforeResponse = 1024 * 1024;
 /// Keep-alive timeout assumed for a server that does not send one.
 constexpr std::chrono::milliseconds defaultKeepAliveTimeout{4000};
 constexpr std::chrono::milliseconds minTimerDelay{1};
@@ -140,6 +145,7 @@
         m_observer = {};
         m_options.isOwnResponse = nullptr;
         m_options.onConnected = nullptr;
+        m_unparsedBytes.reset();
         removeFromPool();
     }
 
@@ -167,6 +173,11 @@
         m_startTime = m_clock.now();
         m_isHeadRequest = request.method() == http::verb::head;
         m_requestBytes = serializeRequest(request);
+        m_bytesBeforeResponse = 0;
+        m_informationalResponses = 0;
+        m_unparsedBytes.reset();
+        if (m_options.memory)
+            m_unparsedBytes.emplace(m_options.memory, m_serverId);
         startParser();
     }
 
@@ -308,11 +319,17 @@
             }
             if (!reportProgress())
                 return;
-            if (error == http::error::need_more || used == 0) {
-                if (m_buffer.size() > maxUnparsedBytes)
-                    fail(call_failure::malformed);
+            if (!m_headReported || !m_isOwnResponse)
+                m_bytesBeforeResponse += used;
+            const bool needsMore = error == http::error::need_more || used == 0;
+            if (m_bytesBeforeResponse > maxBytesBeforeResponse
+                || (needsMore && m_buffer.size() > maxUnparsedBytes)
+                || (m_unparsedBytes && !m_unparsedBytes->set(m_buffer.size()))) {
+                fail(call_failure::malformed);
                 return;
             }
+            if (needsMore)
+                return;
         }
     }
 
@@ -324,6 +341,10 @@
             m_headReported = true;
             if (m_parser->get().result_int() / 100 == 1) {
                 // An informational response; the final one follows.
+                if (++m_informationalResponses > maxInformationalResponses) {
+                    fail(call_failure::malformed);
+                    return false;
+                }
                 startParser();
                 return true;
             }
@@ -360,6 +381,7 @@
         const auto onEnd = std::move(m_observer.onEnd);
         m_observer = {};
         m_options.isOwnResponse = nullptr;
+        m_unparsedBytes.reset();
         m_busy = false;
         m_timer.cancel();
         // If the response arrives before the request has been fully written, the state of the
@@ -414,6 +436,9 @@
     response_observer m_observer;
     call_options m_options;
     std::string m_requestBytes;
+    std::optional<held_bytes> m_unparsedBytes;
+    std::size_t m_bytesBeforeResponse = 0; ///< Of the current call.
+    unsigned m_informationalResponses = 0; ///< Of the current call.
     std::uint64_t m_callId = 0;
     time_point m_startTime;
     time_point m_progressTime; ///< When the request was sent, or the last bytes arrived.
--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -7,8 +7,10 @@
 /// call() sends one request and delivers the response incrementally to a response_observer. Every
 /// call ends with exactly one of onEnd and onFailure, unless it is cancelled: its connection is
 /// then closed immediately and no further callback runs. A connection is reused only after a
-/// complete response that no further bytes follow. Not thread-safe: all calls and callbacks take
-/// place on the thread that runs the io_context.
+/// complete response that no further bytes follow. What precedes the response on its connection,
+/// and bytes that cannot be parsed yet, are limited in size; a call that exceeds a limit fails as
+/// malformed and its connection is closed without reading the rest. Not thread-safe: all calls and
+/// callbacks take place on the thread that runs the io_context.
 
 #include <functional>
 #include <map>
@@ -20,13 +22,14 @@
 
 #include "goldcrestdeck/clock.h"
 #include "goldcrestdeck/http_message.h"
+#include "goldcrestdeck/response_memory.h"
 
 namespace goldcrestdeck {
 
 enum class call_failure {
     notSent,   ///< No byte of the request was written, so the server cannot have executed it.
     broken,    ///< The connection was lost after bytes of the request may have been written.
-    malformed, ///< The server sent bytes that are not a valid HTTP response.
+    malformed, ///< The server sent bytes that are not a valid HTTP response, or too many of them.
     timeout    ///< The response was not complete before the deadline, or it stalled.
 };
 
@@ -57,6 +60,9 @@
     std::function<bool(const http1_response_head &, bool)> isOwnResponse;
     /// If set, called when a new connection has been established for the call.
     std::function<void()> onConnected;
+    /// If set, limits the bytes held for this call and others before the parser can consume them,
+    /// such as those of an unfinished head. The sender's name there is the server id.
+    std::shared_ptr<response_memory> memory;
 };
 
 class async_client
--- a/goldcrestdeck/forwarder.cc
+++ b/goldcrestdeck/forwarder.cc
@@ -52,10 +52,6 @@
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 /// Maximum size of a buffered (non-streaming) response; larger ones are treated as malformed.
 constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
-/// Maximum size of all buffered responses together. Beyond it, responses larger than
-/// largeResponseBytes are treated as malformed.
-constexpr std::size_t maxBufferedBytes = 48 * 1024 * 1024;
-constexpr std::size_t largeResponseBytes = 1024 * 1024;
 /// Fraction of the upstream's keep-alive timeout for which an idle connection is reused. Smaller
 /// for at-most-once requests, which cannot be retried if the upstream closes the connection
 /// meanwhile.
@@ -152,7 +148,7 @@
         , m_writer(std::move(writer))
         , m_handover(std::move(handover))
         , m_activeRequests(owner.m_activeRequests)
-        , m_bufferedBytes(owner.m_bufferedBytes)
+        , m_heldBytes(owner.m_dependencies.memory, "")
         , m_timer(owner.m_dependencies.io.get_executor())
         , m_slowTimer(owner.m_dependencies.io.get_executor())
         , m_started(owner.m_dependencies.time.now())
@@ -163,7 +159,7 @@
         m_activeRequests->insert(shared_from_this());
         m_owner.m_handedOverRequests += m_handover ? 1 : 0;
         m_writer->setCallbacks([self = shared_from_this()] { self->onClientGone(); },
-                               [self = shared_from_this()] { self->m_call.resume(); });
+                               [self = shared_from_this()] { self->onWritable(); });
         resolveRoute(false);
     }
 
@@ -456,7 +452,7 @@
         ++m_deliveries;
         ++m_attempts;
         m_state.recordSend(placement, m_chosen, time);
-        beginSend(time);
+        beginSend(time, chosen->target.incarnation());
         m_toHost = false;
         logSendToLimitedInstance();
         setTimer();
@@ -465,17 +461,20 @@
     }
 
     /// Resets what is known of the current send.
-    void beginSend(time_point time)
+    void beginSend(time_point time, const std::string &receiver)
     {
         ++m_sends;
+        m_receiver = receiver;
         m_sentAt = time;
         m_lastActivityAt = time;
         m_sending = true;
         m_responseBegun = false;
         m_bodyBegun = false;
         m_mode = response_mode::none;
-        releaseBody();
+        std::string().swap(m_body); // Unlike clear(), releases its memory.
         m_splitter.discardPartial();
+        m_heldBytes = held_bytes(m_dependencies.memory, m_receiver);
+        updateHeldBytes();
         m_eventsInSend = 0;
         m_intervalRecorded = false;
         m_slow = false;
@@ -523,7 +522,7 @@
         handover.configVersion = m_config->version();
         m_attempts += m_grantedAttempts;
         ++m_deliveries;
-        beginSend(time);
+        beginSend(time, "host " + m_helper + ' ' + target.handoverAddress);
         m_toHost = true;
         logEvent(log_level::info, "request_handed_over",
                  {{"request", m_request.id},
@@ -542,8 +541,8 @@
         encodeHandover(handover, message);
         call_options options;
         options.maxIdleFraction = isRepeatable() ? repeatableIdleFraction : atMostOnceIdleFraction;
-        m_call = m_dependencies.client.call(parseEndpoint(target.handoverAddress),
-                                            "host " + m_helper + ' ' + target.handoverAddress,
+        options.memory = m_dependencies.memory;
+        m_call = m_dependencies.client.call(parseEndpoint(target.handoverAddress), m_receiver,
                                             message, observer(), std::move(options));
     }
 
@@ -768,7 +767,8 @@
                                    incarnation = m_chosen.target.incarnation()] {
             self->m_owner.m_path.recordConnected(incarnation, openedAt);
         };
-        m_call = m_dependencies.client.call(endpoint, m_chosen.target.incarnation(),
+        callOptions.memory = m_dependencies.memory;
+        m_call = m_dependencies.client.call(endpoint, m_receiver,
                                             m_dependencies.wire.encodeRequest(m_request, options),
                                             observer(), std::move(callOptions));
     }
@@ -810,21 +810,20 @@
         m_mode = response_mode::buffered;
         if (m_toHost) {
             onHostHead();
+            endIfDeclaredOverlong();
             return;
         }
         m_owner.m_path.recordBytes();
         recordRateLimit();
         recordBrittleness();
         recordLeaving();
-        if (m_metadata.notExecuted)
-            return;
-        handleResponseBegun();
-        if (m_route->kind != request_kind::stream || head.result_int() / 100 != 2)
-            return;
-        if (!m_metadata.isComplete)
-            return;
-        if (!isEventStream(head))
+        if (!m_metadata.notExecuted)
+            handleResponseBegun();
+        if (m_metadata.notExecuted || m_route->kind != request_kind::stream
+            || head.result_int() / 100 != 2 || !m_metadata.isComplete || !isEventStream(head)) {
+            endIfDeclaredOverlong();
             return;
+        }
         m_mode = response_mode::eventStream;
         // The client has events of this model already, from this host or the one that handed over.
         if (m_streaming || (m_handover && m_handover->lastEventId))
@@ -971,12 +970,10 @@
         }
         if (m_mode != response_mode::eventStream) {
             m_body += piece;
-            m_bufferedBytes += piece.size();
-            if (m_body.size() > maxResponseBytes
-                || (m_bufferedBytes > maxBufferedBytes && m_body.size() > largeResponseBytes)) {
-                m_call.cancel();
-                onFailure(call_failure::malformed);
-            }
+            if (m_body.size() > maxResponseBytes)
+                endOverlong("response_limit");
+            else if (!updateHeldBytes())
+                endOverlong("memory_limit");
             return;
         }
         const std::vector<numbered_event> events = m_splitter.feed(piece);
@@ -997,19 +994,57 @@
             else
                 m_allEventsNumbered = false;
         }
-        if (m_splitter.isOverlong()) {
-            m_call.cancel();
-            onFailure(call_failure::malformed);
-            return;
-        }
-        if (m_writer->unsentBytes() > maxUnsentBytes)
+        const bool mayHoldMore = updateHeldBytes();
+        const std::size_t unsentBytes = m_writer->unsentBytes();
+        if (m_splitter.isOverlong())
+            endOverlong("event_limit");
+        else if (!mayHoldMore && unsentBytes == 0)
+            endOverlong("memory_limit");
+        else if (!mayHoldMore || unsentBytes > maxUnsentBytes)
             m_call.pause();
     }
 
-    void releaseBody()
+    void onWritable()
+    {
+        if (m_finished)
+            return;
+        updateHeldBytes();
+        m_call.resume();
+    }
+
+    /// Records what the current response holds. \returns whether it may hold more.
+    bool updateHeldBytes()
     {
-        m_bufferedBytes -= m_body.size();
-        m_body.clear();
+        return m_heldBytes.set(m_body.size() + m_splitter.partial().size()
+                               + (m_streaming ? m_writer->unsentBytes() : 0));
+    }
+
+    /// Ends the response at once if its head says that it is larger than what is buffered.
+    void endIfDeclaredOverlong()
+    {
+        const std::string length(m_head[http::field::content_length]);
+        const bool hasBody = m_request.message.method() != http::verb::head;
+        if (m_mode == response_mode::buffered && hasBody
+            && std::strtoull(length.c_str(), nullptr, 10) > maxResponseBytes)
+            endOverlong("response_limit");
+    }
+
+    /// Ends a response of which more has arrived than may be held.
+    void endOverlong(const char *limit)
+    {
+        logEvent(log_level::warning, "response_overlong",
+                 {{"request", m_request.id},
+                  {"sender", m_receiver},
+                  {"limit", limit},
+                  {"held_bytes", std::to_string(m_heldBytes.bytes())},
+                  {"held_of_sender", std::to_string(m_dependencies.memory->heldBy(m_receiver))},
+                  {"held_of_all", std::to_string(m_dependencies.memory->total())}});
+        m_call.cancel();
+        // What the head says of the execution is true however the body goes on.
+        if (m_metadata.notExecuted && !m_toHost)
+            onEnd();
+        else
+            onFailure(call_failure::malformed);
     }
 
     void beginStream()
@@ -1062,6 +1097,7 @@
         if (failure && mayRetry()) {
             m_retryReason = "failed";
             m_fallbackResponse = bufferedResponse();
+            m_fallbackBytes = std::move(m_heldBytes);
             send();
             return;
         }
@@ -1085,12 +1121,13 @@
         finish(m_head.result_int(), "served");
     }
 
-    http1_response bufferedResponse() const
+    /// Takes the response that has been buffered.
+    http1_response bufferedResponse()
     {
         http1_response response;
         response.base() = m_head;
         removeHopByHopFields(response);
-        response.body() = m_body;
+        response.body() = std::exchange(m_body, std::string());
         return response;
     }
 
@@ -1368,7 +1405,8 @@
     void finish(unsigned status, const std::string &outcome)
     {
         m_finished = true;
-        releaseBody();
+        m_heldBytes.set(0);
+        m_fallbackBytes.reset();
         m_timer.cancel();
         const duration time = now() - m_started;
         const std::string kind = m_route != nullptr ? toString(m_route->kind) : "none";
@@ -1410,7 +1448,8 @@
     std::shared_ptr<response_writer> m_writer;
     std::optional<handover_request> m_handover; ///< Set if another host has handed it over.
     std::shared_ptr<std::set<std::shared_ptr<active_request>>> m_activeRequests;
-    std::size_t &m_bufferedBytes; ///< Of all requests.
+    std::string m_receiver; ///< Of the current send: an instance's incarnation, or a host.
+    held_bytes m_heldBytes; ///< Of the response to the current send.
     one_shot_timer m_timer;
     one_shot_timer m_slowTimer;
     time_point m_started;
@@ -1468,6 +1507,7 @@
     std::optional<std::uint64_t> m_lastEventId;
     /// An upstream's error response, returned if the retries get nothing better.
     std::optional<http1_response> m_fallbackResponse;
+    std::optional<held_bytes> m_fallbackBytes;
 };
 
 forwarder::forwarder(forwarder_dependencies dependencies)
--- a/goldcrestdeck/forwarder.h
+++ b/goldcrestdeck/forwarder.h
@@ -26,6 +26,7 @@
 #include "goldcrestdeck/liveness_check.h"
 #include "goldcrestdeck/one_shot_timer.h"
 #include "goldcrestdeck/path_watch.h"
+#include "goldcrestdeck/response_memory.h"
 #include "goldcrestdeck/router_metrics.h"
 #include "goldcrestdeck/store_follower.h"
 #include "goldcrestdeck/traffic_state.h"
@@ -39,6 +40,7 @@
     async_client &client;
     traffic_state &state;
     router_metrics &metrics;
+    std::shared_ptr<response_memory> memory;
     wire_format wire;
     /// Asks the control thread to confirm that the configuration is current. The callback runs on
     /// the traffic thread after any newer view has been installed; its argument is false if the
@@ -78,8 +80,6 @@
     std::size_t requestsInProgress() const;
     /// Whether this host has lost its path to the instances and hands requests over.
     bool reachesNoInstance() const { return m_path.isLost(); }
-    /// Size of all response bodies that are being buffered.
-    std::size_t bufferedBytes() const { return m_bufferedBytes; }
 
 private:
     class active_request;
@@ -105,7 +105,6 @@
     path_watch m_path;
     handover_targets m_handoverTargets;
     std::size_t m_handedOverRequests = 0; ///< In progress, of other hosts.
-    std::size_t m_bufferedBytes = 0;
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/numbered_events.cc
+++ b/goldcrestdeck/numbered_events.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t maxEventBytes = 1024 * 1024;
+constexpr std::size_t maxEventEndBytes = 4;
 
 std::optional<std::uint64_t> eventId(const std::string &text)
 {
@@ -41,7 +42,8 @@
     m_buffer += bytes;
     std::vector<numbered_event> events;
     std::size_t consumed = 0;
-    for (std::size_t end = findEventEnd(m_buffer, consumed); end != std::string::npos;
+    // Bytes that were searched before are not searched again: an event can arrive in many pieces.
+    for (std::size_t end = findEventEnd(m_buffer, m_searched); end != std::string::npos;
          end = findEventEnd(m_buffer, consumed)) {
         numbered_event event;
         event.text = m_buffer.substr(consumed, end - consumed);
@@ -50,9 +52,17 @@
         consumed = end;
     }
     m_buffer.erase(0, consumed);
+    // The end of an event consists of two line ends, of two bytes each at most.
+    m_searched = m_buffer.size() > maxEventEndBytes ? m_buffer.size() - maxEventEndBytes : 0;
     return events;
 }
 
+void numbered_event_splitter::discardPartial()
+{
+    std::string().swap(m_buffer); // Unlike clear(), releases its memory.
+    m_searched = 0;
+}
+
 bool numbered_event_splitter::isInsideEvent() const
 {
     return m_buffer.find_first_not_of("\r\n") != std::string::npos;
--- a/goldcrestdeck/numbered_events.h
+++ b/goldcrestdeck/numbered_events.h
@@ -28,7 +28,7 @@
 
     /// Returns the bytes of the incomplete event.
     const std::string &partial() const { return m_buffer; }
-    void discardPartial() { m_buffer.clear(); }
+    void discardPartial();
     /// Returns whether the bytes so far end inside an event; a stream that ends there was
     /// truncated, however its end is marked.
     bool isInsideEvent() const;
@@ -38,6 +38,7 @@
 
 private:
     std::string m_buffer;
+    std::size_t m_searched = 0; ///< No event ends before this position of the buffer.
 };
 
 } // namespace goldcrestdeck
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -49,6 +49,8 @@
     , instances(gauge("router_instances", "Upstream instances known."))
     , requestsInProgress(gauge("router_requests_in_progress", "Requests being served."))
     , upstreamConnections(gauge("router_upstream_connections", "Open connections to upstreams."))
+    , heldResponseBytes(
+          gauge("router_held_response_bytes", "Bytes of responses that cannot be passed on yet."))
     , quarantinedSegments(gauge("router_quarantined_segments",
                                 "Prompt segments refused because they crash upstreams."))
     , limitedInstances(gauge("router_limited_instances",
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -57,6 +57,7 @@
     prometheus::Gauge &instances;
     prometheus::Gauge &requestsInProgress;
     prometheus::Gauge &upstreamConnections;
+    prometheus::Gauge &heldResponseBytes; ///< That cannot be passed on yet.
     prometheus::Gauge &quarantinedSegments;
     prometheus::Gauge &limitedInstances;
     prometheus::Gauge &brittleServices;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -751,14 +751,14 @@
         });
     std::size_t peak = 0;
     while (running > 0) {
-        peak = std::max(peak, onLoop([&] { return m_forwarder->bufferedBytes(); }));
+        peak = std::max(peak, onLoop([&] { return m_memory->total(); }));
         std::this_thread::sleep_for(milliseconds(2));
     }
     for (std::thread &client : clients)
         client.join();
     EXPECT_GT(peak, 0U);
     EXPECT_LT(peak, maxBufferedBytes);
-    EXPECT_EQ(0U, onLoop([&] { return m_forwarder->bufferedBytes(); }));
+    EXPECT_EQ(0U, onLoop([&] { return m_memory->total(); }));
 }
 
 TEST_F(endless_response_fixture, event_without_end_is_cut_off)
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -27,7 +27,8 @@
         , m_client(io, time)
         , m_state(settingsOf(name), std::hash<std::string>()(name))
         , m_forwarder(forwarder_dependencies{
-              io, time, m_client, m_state, m_metrics, platform::wireFormat(),
+              io, time, m_client, m_state, m_metrics,
+              std::make_shared<response_memory>(response_memory_limits()), platform::wireFormat(),
               [](const std::function<void(bool)> &done) { done(true); },
               [this](const request_outcome &outcome) { m_outcomes.push_back(outcome); },
               [this](const crash_report &report) { m_crashReports.push_back(report); },
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -159,6 +159,7 @@
         m_client,
         m_state,
         m_metrics,
+        m_memory,
         platform::wireFormat(),
         [this](std::function<void(bool)> done) {
             ++m_confirmCalls;
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -96,6 +96,8 @@
     boost::asio::io_context m_io{1};
     system_clock m_clock;
     router_metrics m_metrics;
+    std::shared_ptr<response_memory> m_memory
+        = std::make_shared<response_memory>(response_memory_limits());
     async_client m_client;
     traffic_state m_state;
     std::unique_ptr<forwarder> m_forwarder;
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -1,9 +1,11 @@
 // Tests of goldcrest_routerd: router processes that run against stand-ins for the platform's store
 // and its instances.
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <sstream>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -260,6 +262,179 @@
         EXPECT_EQ(1U, requests.count(request)) << request;
 }
 
+/// One of nine instances of each service sends without end in answer to every request.
+class endless_instance_fixture : public router_process_fixture
+{
+protected:
+    /// Memory of a host on the users' platform.
+    static constexpr std::size_t hostBytes = 260'000'000;
+    static constexpr int requestsOfEachKind = 48;
+
+    endless_instance_fixture()
+    {
+        instance_faults stream;
+        stream.events = 5;
+        onLoop([&] {
+            for (int i = 2; i <= 9; ++i)
+                addInstance("plain", "p" + std::to_string(i), "v1");
+            for (int i = 3; i <= 9; ++i)
+                addInstance("engine", "e" + std::to_string(i), "v1");
+            for (const auto &standin : m_standins)
+                standin->setFaults(standin->id()[0] == 'e' ? stream : instance_faults());
+        });
+        eventually([&] { return countOf("/safe/x") == 9; });
+    }
+
+    /// \returns the number of instances of "plain" that requests reach.
+    std::size_t countOf(const std::string &path)
+    {
+        for (int i = 0; i < 30; ++i)
+            sendRequest(0, requestText("GET", path, "probe" + std::to_string(++m_probes)));
+        return onLoop([&] {
+            return static_cast<std::size_t>(
+                std::count_if(m_standins.begin(), m_standins.end(), [](const auto &standin) {
+                    return standin->id()[0] == 'p' && !standin->requests().empty();
+                }));
+        });
+    }
+
+    void setFaultyInstances(const instance_faults &faults)
+    {
+        onLoop([&] {
+            m_standins[0]->setFaults(faults);
+            m_standins[1]->setFaults(faults);
+        });
+    }
+
+    /// \returns the statuses of requests that are sent at once; 0 where no response arrives.
+    std::vector<unsigned> sendAtOnce(const std::function<std::string(const std::string &)> &request,
+                                     const std::string &prefix, int count)
+    {
+        std::vector<unsigned> statuses(count);
+        std::vector<std::thread> clients;
+        clients.reserve(count);
+        for (int i = 0; i < count; ++i)
+            clients.emplace_back([&, i] {
+                try {
+                    statuses[i] = sendRequest(0, request(prefix + std::to_string(i))).result_int();
+                } catch (const boost::system::system_error &) {
+                    statuses[i] = 0;
+                }
+            });
+        for (std::thread &client : clients)
+            client.join();
+        return statuses;
+    }
+
+    /// \returns the most memory that the process of host 0 has had resident.
+    std::size_t peakBytes()
+    {
+        std::ifstream file("/proc/" + std::to_string(m_hosts[0].process->id()) + "/status");
+        for (std::string line; std::getline(file, line);) {
+            if (line.rfind("VmHWM:", 0) == 0)
+                return std::stoul(line.substr(6)) * 1024;
+        }
+        throw std::logic_error("the process has no peak of resident memory");
+    }
+
+    static std::string safeRequest(const std::string &id)
+    {
+        return requestText("GET", "/safe/x", id);
+    }
+    static std::string onceRequest(const std::string &id)
+    {
+        return requestText("POST", "/once/x", id, "", "{}");
+    }
+
+    int m_probes = 0;
+};
+
+struct endless_form {
+    const char *name;
+    void (*set)(instance_faults &);
+};
+
+class endless_form_fixture : public endless_instance_fixture,
+                             public ::testing::WithParamInterface<endless_form>
+{ };
+
+// Guards against an instance that never stops sending and takes requests at other instances along.
+TEST_P(endless_form_fixture, requests_at_other_instances_are_served)
+{
+    instance_faults faults;
+    GetParam().set(faults);
+    setFaultyInstances(faults);
+    const auto statuses = [&](const auto &request, const char *prefix) {
+        return std::async(std::launch::async,
+                          [=] { return sendAtOnce(request, prefix, requestsOfEachKind); });
+    };
+    auto safe = statuses(safeRequest, "safe");
+    auto once = statuses(onceRequest, "once");
+    auto streams = statuses(streamRequest, "stream");
+    for (const unsigned status : safe.get())
+        EXPECT_EQ(200U, status);
+    for (const unsigned status : streams.get())
+        EXPECT_EQ(200U, status);
+    const std::vector<unsigned> onceStatuses = once.get();
+    const std::size_t faultyRuns = onLoop([&] {
+        return std::count_if(
+            m_standins[0]->requests().begin(), m_standins[0]->requests().end(),
+            [](const http1_request &request) { return request.target() == "/once/x"; });
+    });
+    const auto served = std::count(onceStatuses.begin(), onceStatuses.end(), 200U);
+    const auto failed = std::count(onceStatuses.begin(), onceStatuses.end(), 502U);
+    EXPECT_EQ(requestsOfEachKind, served + failed);
+    EXPECT_EQ(faultyRuns, static_cast<std::size_t>(failed));
+    EXPECT_LT(peakBytes(), hostBytes / 2);
+    EXPECT_FALSE(m_hosts[0].process->hasExited());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    forms, endless_form_fixture,
+    ::testing::Values(
+        endless_form{"head", [](instance_faults &faults) { faults.endlessHead = true; }},
+        endless_form{"informational",
+                     [](instance_faults &faults) { faults.endlessInformational = true; }},
+        endless_form{"other_responses",
+                     [](instance_faults &faults) { faults.endlessStale = true; }},
+        endless_form{"body", [](instance_faults &faults) { faults.endlessBody = true; }},
+        endless_form{"body_with_length",
+                     [](instance_faults &faults) {
+                         faults.endlessBody = true;
+                         faults.declaredLength = "10000000000";
+                     }},
+        endless_form{"chunks", [](instance_faults &faults) { faults.endlessChunks = true; }},
+        endless_form{"chunk_size",
+                     [](instance_faults &faults) { faults.endlessChunkSize = true; }}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against many responses that together exceed a host's memory, while none of them does.
+TEST_F(endless_instance_fixture, unfinished_responses_of_one_instance_are_bounded_together)
+{
+    // As many connections as the users' hosts open to one instance at most.
+    constexpr int requests = 370;
+    onLoop([&] {
+        for (int i = 2; i <= 9; ++i)
+            m_store.remove("servers/p" + std::to_string(i));
+    });
+    std::this_thread::sleep_for(milliseconds(1500));
+    instance_faults faults;
+    faults.endlessBody = true;
+    faults.stallAfterBytes = 1'000'000;
+    onLoop([&] { m_standins[0]->setFaults(faults); });
+    auto held
+        = std::async(std::launch::async, [&] { return sendAtOnce(onceRequest, "held", requests); });
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "other" + std::to_string(i);
+        EXPECT_EQ(eventsThrough(5), sendRequest(0, streamRequest(id)).body());
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    for (const unsigned status : held.get())
+        EXPECT_TRUE(status == 502 || status == 504) << status;
+    EXPECT_LT(peakBytes(), hostBytes / 2);
+    EXPECT_FALSE(m_hosts[0].process->hasExited());
+}
+
 TEST_F(router_process_fixture, segment_that_crashed_instances_for_one_host_is_refused_by_another)
 {
     instance_faults faults;
--- a/programs/goldcrest_routerd.cc
+++ b/programs/goldcrest_routerd.cc
@@ -165,6 +165,7 @@
                 m_upstreamClient,
                 m_trafficState,
                 m_routerMetrics,
+                m_responseMemory,
                 platform::wireFormat(),
                 [this](std::function<void(bool)> done) {
                     asio::post(m_controlLoop, [this, done = std::move(done)] {
@@ -327,6 +328,7 @@
             static_cast<double>(m_forwarder.requestsInProgress()));
         m_routerMetrics.upstreamConnections.Set(
             static_cast<double>(m_upstreamClient.openConnections()));
+        m_routerMetrics.heldResponseBytes.Set(static_cast<double>(m_responseMemory->total()));
         const auto &view = m_trafficState.view();
         if (view && view->config) {
             std::size_t instances = 0;
@@ -351,6 +353,8 @@
     asio::io_context m_trafficLoop{1};
     async_client m_storeClient;
     async_client m_upstreamClient;
+    std::shared_ptr<response_memory> m_responseMemory
+        = std::make_shared<response_memory>(response_memory_limits());
     traffic_state m_trafficState;
     forwarder m_forwarder;
     async_server m_clientServer;
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t endlessPieceBytes = 60'000;
-constexpr std::size_t maxEndlessBytes = 200'000'000;
+constexpr std::size_t maxEndlessBytes = 400'000'000;
 
 std::string responseHead(unsigned status, const std::string &id, const std::string &fields)
 {
@@ -99,17 +99,33 @@
     }
     if (faults.endlessHead) {
         connection->write("HTTP/1.1 200 OK\r\n");
-        sendEndlessly(connection, "X-Filler: " + std::string(endlessPieceBytes, 'x') + "\r\n");
+        sendEndlessly(connection, "X-Filler: " + std::string(endlessPieceBytes, 'x') + "\r\n",
+                      faults.stallAfterBytes);
         return;
     }
-    if (faults.endlessBody || faults.endlessChunkSize) {
+    if (faults.endlessInformational) {
+        sendEndlessly(connection, "HTTP/1.1 103 Early Hints\r\nX-Filler: x\r\n\r\n",
+                      faults.stallAfterBytes);
+        return;
+    }
+    if (faults.endlessStale) {
+        const std::string body(endlessPieceBytes, 'x');
+        sendEndlessly(connection, responseWithLength(200, "an-earlier-request", "", body),
+                      faults.stallAfterBytes);
+        return;
+    }
+    if (faults.endlessBody || faults.endlessChunkSize || faults.endlessChunks) {
         std::string fields = "X-Response-Seal: s\r\nContent-Type: text/event-stream\r\n";
-        if (faults.endlessChunkSize)
+        if (faults.endlessChunkSize || faults.endlessChunks)
             fields += "Transfer-Encoding: chunked\r\n";
+        if (!faults.declaredLength.empty())
+            fields += "Content-Length: " + faults.declaredLength + "\r\n";
         connection->write(responseHead(200, id, fields) + "\r\n");
         if (faults.endlessChunkSize)
             connection->write("1;");
-        sendEndlessly(connection, std::string(endlessPieceBytes, 'x'));
+        const std::string piece(endlessPieceBytes, 'x');
+        sendEndlessly(connection, faults.endlessChunks ? encodeChunk(piece) : piece,
+                      faults.stallAfterBytes);
         return;
     }
     connection->runAfter(faults.delay, [=] { respond(request, connection, faults); });
@@ -184,16 +200,18 @@
 }
 
 void platform_instance::sendEndlessly(const std::shared_ptr<raw_connection> &connection,
-                                      const std::string &piece)
+                                      const std::string &piece, std::size_t bytesLeft)
 {
     // Bounded, so that a client that never closes fails its test instead of exhausting the memory.
-    if (!connection->isOpen() || m_endlessBytes > maxEndlessBytes)
+    if (!connection->isOpen() || m_endlessBytes > maxEndlessBytes || bytesLeft < piece.size())
         return;
     if (connection->unsentBytes() == 0) {
         m_endlessBytes += piece.size();
+        bytesLeft -= piece.size();
         connection->write(piece);
     }
-    connection->runAfter(std::chrono::milliseconds(1), [=] { sendEndlessly(connection, piece); });
+    connection->runAfter(std::chrono::milliseconds(1),
+                         [=] { sendEndlessly(connection, piece, bytesLeft); });
 }
 
 void platform_instance::streamFrom(const std::shared_ptr<raw_connection> &connection,
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -5,6 +5,7 @@
 /// A stand-in for one upstream instance of the users' platform. It sends complete responses or
 /// streams of numbered events, and injects the failures that users of the platform have published.
 
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -42,6 +43,12 @@
     bool endlessHead = false;      ///< Sends header fields until the connection is closed.
     bool endlessBody = false;      ///< Sends a body without framing until the connection is closed.
     bool endlessChunkSize = false; ///< Sends a chunk extension until the connection is closed.
+    bool endlessChunks = false;    ///< Sends chunks until the connection is closed.
+    bool endlessInformational = false; ///< Sends heads with status 103 until it is closed.
+    bool endlessStale = false;         ///< Sends responses to another request until it is closed.
+    std::string declaredLength;        ///< With endlessBody: the body has this Content-Length.
+    /// With an endless fault: stops sending after this many bytes, and stays connected.
+    std::size_t stallAfterBytes = std::numeric_limits<std::size_t>::max();
     std::string
         crashSegment; ///< Crashes when it begins the response to a prompt with this segment.
     /// Crashes when it has executed a request with this text in its path or body, without a byte
@@ -91,8 +98,10 @@
                 const std::shared_ptr<raw_connection> &connection);
     void respond(const goldcrestdeck::http1_request &request,
                  const std::shared_ptr<raw_connection> &connection, const instance_faults &faults);
-    /// Sends \a piece again and again until the connection is closed.
-    void sendEndlessly(const std::shared_ptr<raw_connection> &connection, const std::string &piece);
+    /// Sends \a piece again and again until the connection is closed, or \a bytesLeft have been
+    /// sent.
+    void sendEndlessly(const std::shared_ptr<raw_connection> &connection, const std::string &piece,
+                       std::size_t bytesLeft);
     void streamFrom(const std::shared_ptr<raw_connection> &connection,
                     const instance_faults &faults, int number);
 
