Text that isn't UTF-8 is escaped in crash reports and log lines

Cause: encodeCrashReport() puts ids of requests and prompt segments into JSON; json_value throws for what isn't UTF-8, in a callback of the control loop. Log lines replaced such texts, so that their request could not be found.

Ordinary text is written as before.

--- a/goldcrestdeck/crash_report.cc
+++ b/goldcrestdeck/crash_report.cc
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "goldcrestdeck/json.h"
+#include "goldcrestdeck/text_escape.h"
 
 namespace goldcrestdeck {
 
@@ -49,19 +50,19 @@
     for (const crash_suspect &suspect : report.suspects) {
         json_value segments = json_value::array();
         for (const std::string &segment : suspect.segments)
-            segments.append(json_value(segment));
+            segments.append(json_value(escapeText(segment)));
         json_value row = json_value::object();
-        row.set("instance", suspect.instance);
-        row.set("request", suspect.request);
+        row.set("instance", escapeText(suspect.instance));
+        row.set("request", escapeText(suspect.request));
         row.set("segments", segments);
-        row.set("last_segment", suspect.lastSegment);
+        row.set("last_segment", escapeText(suspect.lastSegment));
         setAge(row, suspect.age);
         suspects.append(row);
     }
     json_value answered = json_value::array();
     for (const answered_segment &segment : report.answered) {
         json_value row = json_value::object();
-        row.set("segment", segment.segment);
+        row.set("segment", escapeText(segment.segment));
         setAge(row, segment.age);
         answered.append(row);
     }
@@ -83,18 +84,18 @@
         const json_value row = suspects.at(i);
         const json_value segments = row.get("segments");
         checkSize(segments, maxReportedSegments, "segments");
-        crash_suspect suspect{row.string("instance"),
-                              row.string("request"),
+        crash_suspect suspect{unescapeText(row.string("instance")),
+                              unescapeText(row.string("request")),
                               {},
                               ageOf(row),
-                              row.string("last_segment", "")};
+                              unescapeText(row.string("last_segment", ""))};
         for (std::size_t j = 0; j < segments.size(); ++j)
-            suspect.segments.push_back(segments.at(j).asString());
+            suspect.segments.push_back(unescapeText(segments.at(j).asString()));
         report.suspects.push_back(std::move(suspect));
     }
     for (std::size_t i = 0; i < answered.size(); ++i) {
         const json_value row = answered.at(i);
-        report.answered.push_back({row.string("segment"), ageOf(row)});
+        report.answered.push_back({unescapeText(row.string("segment")), ageOf(row)});
     }
     return report;
 }
--- a/goldcrestdeck/crash_report.h
+++ b/goldcrestdeck/crash_report.h
@@ -5,6 +5,9 @@
 /// What one host tells the others about crashes of upstream instances: the requests that may have
 /// caused them, and suspected prompt segments that an instance has answered nevertheless.
 ///
+/// The texts that clients choose are arbitrary bytes; they are written as escapeText() returns
+/// them.
+///
 /// Hosts share no clock, so times are given as ages at the time of writing.
 
 #include <chrono>
--- a/goldcrestdeck/log.cc
+++ b/goldcrestdeck/log.cc
@@ -11,6 +11,7 @@
 #include <spdlog/spdlog.h>
 
 #include "goldcrestdeck/json.h"
+#include "goldcrestdeck/text_escape.h"
 
 namespace goldcrestdeck {
 
@@ -77,11 +78,7 @@
 
 std::string quoted(const std::string &text)
 {
-    try {
-        return json_value(text).dump();
-    } catch (const json_error &) {
-        return "\"(not UTF-8)\"";
-    }
+    return json_value(escapeText(text)).dump();
 }
 
 } // namespace
--- a/goldcrestdeck/log_search.cc
+++ b/goldcrestdeck/log_search.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "goldcrestdeck/json.h"
+#include "goldcrestdeck/text_escape.h"
 
 namespace goldcrestdeck {
 
@@ -45,8 +46,10 @@
 {
     std::vector<log_line> found;
     std::set<std::string> hosts;
-    std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(found),
-                 [&](const log_line &line) { return line.request == request; });
+    const std::string written = escapeText(request);
+    std::copy_if(
+        m_lines.begin(), m_lines.end(), std::back_inserter(found),
+        [&](const log_line &line) { return line.request == request || line.request == written; });
     if (found.empty())
         return found;
     const auto isEarlier = [](const log_line &a, const log_line &b) { return a.at < b.at; };
--- a/goldcrestdeck/testing/router_process_test.cc
+++ b/goldcrestdeck/testing/router_process_test.cc
@@ -435,6 +435,49 @@
     EXPECT_FALSE(m_hosts[0].process->hasExited());
 }
 
+// Guards against a process that ends because a request id isn't UTF-8 and its instance has crashed.
+TEST_F(router_process_fixture, crash_on_a_request_whose_id_is_not_utf_8_costs_no_other_request)
+{
+    instance_faults sound;
+    sound.events = 3;
+    instance_faults crash = sound;
+    crash.delay = milliseconds(600);
+    crash.crashText = "deadly";
+    const auto setFaults = [&](const instance_faults &faults) {
+        onLoop([&] {
+            for (std::size_t i = 3; i < m_standins.size(); ++i)
+                m_standins[i]->setFaults(faults);
+        });
+    };
+    // The processes have inherited the sockets of the first instances, which go on listening.
+    onLoop([&] {
+        for (const char *id : {"e1", "e2"})
+            m_store.remove("servers/" + std::string(id));
+        for (const char *id : {"e3", "e4"})
+            addInstance("engine", id, "v1");
+    });
+    std::this_thread::sleep_for(milliseconds(1500));
+    setFaults(crash);
+    const std::string fields = "X-Model: m\r\nX-Prompt-Prefix: shared-\xe4:10,own-\xfc:5\r\n";
+    auto odd = std::async(std::launch::async, [&] {
+        const std::string text = requestText("POST", "/stream/x", "M\xfcller", fields, "deadly");
+        return sendRequest(0, text).result_int();
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    setFaults(sound);
+    EXPECT_EQ(200U, odd.get()); // From the other instance.
+    std::this_thread::sleep_for(milliseconds(2500));
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_FALSE(m_hosts[i].process->hasExited());
+        const std::string id = "after" + std::to_string(i);
+        EXPECT_EQ(200U, sendRequest(i, requestText("GET", "/safe/x", id)).result_int());
+    }
+    std::ifstream file(m_hosts[0].logPath);
+    const std::string log((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    EXPECT_NE(std::string::npos, log.find(R"("event":"crash_report_written")"));
+    EXPECT_NE(std::string::npos, log.find(R"("request":"M\\xfcller")"));
+}
+
 TEST_F(router_process_fixture, segment_that_crashed_instances_for_one_host_is_refused_by_another)
 {
     instance_faults faults;
