--- a/review/rig-2/slow_reader.cpp
+++ b/review/rig-2/slow_reader.cpp
@@ -33,6 +33,9 @@
     if (!system.awaitReady(host))
         return notRun;
     pause(3500); // Until the machine is in touch.
+    // Planned work: the settings file is unchanged.
+    system.signal(host, SIGHUP);
+    pause(300);
 
     const int firstPause = isTrouble() ? pauseMs : 0;
     std::atomic<int> whole{0};
