--- a/review/rig-2/raw_runner.hpp
+++ b/review/raw_runner.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_RIG_2_RAW_RUNNER_HPP_
-#define REVIEW_RIG_2_RAW_RUNNER_HPP_
+#ifndef REVIEW_RAW_RUNNER_HPP_
+#define REVIEW_RAW_RUNNER_HPP_
 
 /// \file
 /// A runner with one thread for each channel. Unlike the project's raw_server it takes heads of up
@@ -181,4 +181,4 @@
 
 } // namespace rig
 
-#endif // REVIEW_RIG_2_RAW_RUNNER_HPP_
+#endif // REVIEW_RAW_RUNNER_HPP_
--- a/review/rig-2/rig.hpp
+++ b/review/rig.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_RIG_2_RIG_HPP_
-#define REVIEW_RIG_2_RIG_HPP_
+#ifndef REVIEW_RIG_HPP_
+#define REVIEW_RIG_HPP_
 
 /// \file
 /// Runs goldcrest_routerd processes on loopback against the project's stand-in for the platform's
@@ -553,4 +553,4 @@
 
 } // namespace rig
 
-#endif // REVIEW_RIG_2_RIG_HPP_
+#endif // REVIEW_RIG_HPP_
