--- a/review/silent_stream.cpp
+++ b/review/silent_stream.cpp
@@ -15,6 +15,7 @@
 constexpr int shortEvents = 3;
 constexpr int eventMs = 25;
 constexpr int pauseAfter = 20; // Events.
+constexpr int fullMs = 3000;   // As long as a burst of the site.
 constexpr int pauseMs = 3000;  // Requesters leave after 8 x target-gap-ms = 8,000.
 
 /// Streams numbered events over chunks: a few, without a pause, for the path of short streams.
@@ -104,9 +105,12 @@
     for (int i = 0; i < runners; ++i)
         streams.push_back(
             std::make_unique<stream_runner>("i-m" + std::to_string(i), system, isFull, runs));
+    // A second machine, so that the SIGHUP meets half of them.
     router &host = system.addRouter("za");
+    router &other = system.addRouter("zb");
     system.start(host);
-    if (!system.awaitReady(host))
+    system.start(other);
+    if (!system.awaitReady(host) || !system.awaitReady(other))
         return notRun;
     pause(3500); // Until the machine is in touch.
     // Planned work: the settings file is unchanged.
@@ -149,6 +153,9 @@
     if (isTrouble()) {
         isFull = true;
         log("the runners are full: they reject new requests, and go on with those that they run");
+        pause(fullMs);
+        isFull = false;
+        log("the runners take new requests again");
     }
     for (std::thread &each : threads)
         each.join();
