--- a/review/longer_grace.cpp
+++ b/review/longer_grace.cpp
@@ -30,10 +30,14 @@
     system.put("op/config", manifest(1));
     system.registerRunner("i-a", "app", "v1", "za", first.port(), "ready");
     system.registerRunner("i-b", "app", "v1", "za", second.port(), "ready");
+    // A second machine, so that the signals meet half of them.
     router &host = system.addRouter("za");
+    router &other = system.addRouter("zb");
     setGrace(system, host, isTrouble() ? graceBefore : graceAfter);
+    setGrace(system, other, isTrouble() ? graceBefore : graceAfter);
     system.start(host);
-    if (!system.awaitReady(host))
+    system.start(other);
+    if (!system.awaitReady(host) || !system.awaitReady(other))
         return notRun;
     if (isTrouble()) {
         setGrace(system, host, graceAfter);
