--- a/review/slow_reader.cpp
+++ b/review/slow_reader.cpp
@@ -28,9 +28,12 @@
     system.put("op/config", manifest(1));
     system.registerRunner("i-a", "app", "v1", "za", first.port(), "ready");
     system.registerRunner("i-b", "app", "v1", "za", second.port(), "ready");
+    // A second machine, so that the SIGHUP meets half of them.
     router &host = system.addRouter("za");
+    router &other = system.addRouter("zb");
     system.start(host);
-    if (!system.awaitReady(host))
+    system.start(other);
+    if (!system.awaitReady(host) || !system.awaitReady(other))
         return notRun;
     pause(3500); // Until the machine is in touch.
     // Planned work: the settings file is unchanged.
