Responses with an invalid status fail instead of reaching the client

What callers saw: a response of an instance or of another host with a status such as 000, 099, 600 or 999 was delivered as it was, also for at-most-once requests. A response after "HTTP/1.1 101" was read as if 101 were an interim response; libcurl took the following response for the body of the 101. The store's 099, 600 or 999 counted as "not executed" although the transaction may have been. Through http_client, a response with a status that libcurl rejects itself, or that is not HTTP at all, was reported as "not sent", so that an at-most-once call would have been sent again.

Cause: Beast takes any three digits for a status and libcurl nearly any, and neither HTTP client checked it. mayHaveBeenSent() listed CURLE_UNSUPPORTED_PROTOCOL, which libcurl also returns for a response that is not HTTP.

Change: isValidStatusLine() accepts 100 to 599 without 101, which only answers an Upgrade field that is never sent. Both clients check each status line, interim ones included, before the parser sees it. Such a response is malformed like any other: a repeatable request is sent to another instance, others end with 502, and the call may have been executed.

The status forms are read by async_client, http_client and its streams, before and after interim responses, for safe, at-most-once, streaming, retried and resumed requests, from another host and from the store.

Ruled out: a check in the forwarder, which would leave the store, the other hosts and http_client as they were.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -192,6 +193,7 @@
         m_parser->eager(true);
         if (m_isHeadRequest)
             m_parser->skip(true);
+        m_statusLineChecked = false;
         m_headReported = false;
         m_isOwnResponse = true;
         m_receivedBytes = false;
@@ -312,6 +314,10 @@
         while (m_busy && !m_closed && m_buffer.size() > 0) {
             if (m_parser->is_done())
                 return;
+            if (!checkStatusLine()) {
+                fail(call_failure::malformed);
+                return;
+            }
             error_code error;
             const std::size_t used = m_parser->put(m_buffer.cdata(), error);
             m_buffer.consume(used);
@@ -335,6 +341,21 @@
         }
     }
 
+    /// Checks the status line once it has arrived. The parser consumes complete lines only.
+    /// \returns false if it is invalid.
+    bool checkStatusLine()
+    {
+        if (m_statusLineChecked)
+            return true;
+        const auto data = m_buffer.cdata();
+        const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
+        const std::size_t end = bytes.find("\r\n");
+        if (end == std::string_view::npos)
+            return true;
+        m_statusLineChecked = true;
+        return isValidStatusLine(bytes.substr(0, end));
+    }
+
     /// Passes newly parsed data to the observer. \returns false if the call has ended.
     bool reportProgress()
     {
@@ -453,6 +474,7 @@
     bool m_paused = false;
     bool m_requestWritten = false;
     bool m_startedWriting = false;
+    bool m_statusLineChecked = false;
     bool m_headReported = false;
     bool m_isOwnResponse = true;
     bool m_isReused = false;      ///< The connection has carried an earlier request.
--- a/goldcrestdeck/http_client.cc
+++ b/goldcrestdeck/http_client.cc
@@ -6,10 +6,13 @@
 
 #include <algorithm>
 #include <cctype>
+#include <string_view>
 #include <utility>
 
 #include <curl/curl.h>
 
+#include "goldcrestdeck/http_message.h"
+
 namespace goldcrestdeck {
 
 namespace {
@@ -38,15 +41,22 @@
     return begin == std::string::npos ? std::string() : text.substr(begin, end - begin + 1);
 }
 
+std::string_view withoutLineEnd(std::string_view line)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    const bool isEnded
+        = line.size() >= lineEnd.size() && line.substr(line.size() - lineEnd.size()) == lineEnd;
+    return isEnded ? line.substr(0, line.size() - lineEnd.size()) : line;
+}
+
 bool mayHaveBeenSent(CURLcode code)
 {
     switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
         return false;
-    default:
+    default: // Also CURLE_UNSUPPORTED_PROTOCOL: libcurl reports it for a response that is not HTTP.
         return true;
     }
 }
@@ -151,9 +161,11 @@
         curl_easy_getinfo(m_curl.easy, CURLINFO_RESPONSE_CODE, &m_response.status);
     }
 
-    [[noreturn]] static void fail(CURLcode code)
+    [[noreturn]] void fail(CURLcode code) const
     {
-        throw http_error(curl_easy_strerror(code), mayHaveBeenSent(code));
+        throw http_error(m_isMalformed ? "the head of the response is malformed"
+                                       : curl_easy_strerror(code),
+                         mayHaveBeenSent(code));
     }
 
 private:
@@ -179,12 +191,24 @@
 
     static std::size_t onHeader(char *data, std::size_t, std::size_t size, void *self)
     {
-        const std::string line(data, size);
+        // libcurl aborts the transfer if less than the line is reported as consumed.
+        return static_cast<transfer *>(self)->addHeadLine(std::string(data, size)) ? size : 0;
+    }
+
+    /// Receives each line of a head, informational ones included, and of a trailer section, with
+    /// its line end. \returns false if the response is malformed.
+    bool addHeadLine(const std::string &line)
+    {
+        const std::string_view text = withoutLineEnd(line);
+        if (std::exchange(m_headBegins, text.empty()) && text.substr(0, 5) == "HTTP/") {
+            m_isMalformed = !isValidStatusLine(text);
+            return !m_isMalformed;
+        }
         const std::size_t colon = line.find(':');
         if (colon != std::string::npos)
-            static_cast<transfer *>(self)->m_response.headers.push_back(
+            m_response.headers.push_back(
                 {trimmed(line.substr(0, colon)), trimmed(line.substr(colon + 1))});
-        return size;
+        return true;
     }
 
     static std::size_t onBody(char *data, std::size_t, std::size_t size, void *self)
@@ -201,6 +225,8 @@
     http_request m_request;
     curl_slist *m_headerList = nullptr;
     http_response m_response;
+    bool m_headBegins = true; ///< The next line is a status line, or a trailer field.
+    bool m_isMalformed = false;
 };
 
 class http_client::stream : public http_stream
@@ -224,7 +250,7 @@
         while (!m_finished && buffer().empty())
             performTransfer(pollIntervalMs);
         if (m_finished && m_result != CURLE_OK)
-            transfer::fail(m_result);
+            m_transfer.fail(m_result);
         m_transfer.updateStatus();
         return m_transfer.response();
     }
@@ -239,7 +265,7 @@
             return true;
         }
         if (m_result != CURLE_OK)
-            transfer::fail(m_result);
+            m_transfer.fail(m_result);
         return false;
     }
 
@@ -272,7 +298,7 @@
 {
     static const CURLcode initResult = curl_global_init(CURL_GLOBAL_DEFAULT);
     if (initResult != CURLE_OK)
-        transfer::fail(initResult);
+        throw http_error(curl_easy_strerror(initResult), false);
 }
 
 http_client::~http_client() = default;
@@ -282,7 +308,7 @@
     transfer exchange(m_pool, request);
     const CURLcode result = curl_easy_perform(exchange.curl().easy);
     if (result != CURLE_OK)
-        transfer::fail(result);
+        exchange.fail(result);
     exchange.updateStatus();
     return std::move(exchange.response());
 }
--- a/goldcrestdeck/http_message.cc
+++ b/goldcrestdeck/http_message.cc
@@ -1,8 +1,10 @@
 // Beast accepts folded lines and repeated fields, which the parser of an upstream may interpret
-// differently; requests that contain them are rejected before they are parsed.
+// differently; requests that contain them are rejected before they are parsed. Beast and libcurl
+// accept any three digits as a status, so both HTTP clients check the status line of a response.
 
 #include "goldcrestdeck/http_message.h"
 
+#include <algorithm>
 #include <sstream>
 #include <vector>
 
@@ -26,6 +28,16 @@
     return (code < 0x20 && byte != '\t') || code == 0x7f;
 }
 
+bool hasControlCharacter(std::string_view line)
+{
+    return std::any_of(line.begin(), line.end(), isControlCharacter);
+}
+
+bool isDigit(char byte)
+{
+    return byte >= '0' && byte <= '9';
+}
+
 /// Number of occurrences of the fields that determine where a message ends and which host it
 /// addresses.
 struct framing_field_counts {
@@ -90,10 +102,8 @@
         if (line.empty())
             return begin == head.size() && !first
                 && (seen.contentLengths == 0 || seen.transferEncodings == 0);
-        for (const char byte : line) {
-            if (isControlCharacter(byte))
-                return false;
-        }
+        if (hasControlCharacter(line))
+            return false;
         if (!first && !isUnambiguousField(line, seen))
             return false;
         first = false;
@@ -101,6 +111,22 @@
     return false;
 }
 
+bool isValidStatusLine(std::string_view line)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::size_t statusAt = protocol.size() + 2; // After the minor version and a space.
+    constexpr std::size_t statusDigits = 3;
+    constexpr std::size_t statusEnd = statusAt + statusDigits;
+    constexpr std::string_view switchingProtocols = "101";
+    if (line.substr(0, protocol.size()) != protocol || line.size() < statusEnd
+        || !isDigit(line[protocol.size()]) || line[statusAt - 1] != ' '
+        || (line.size() > statusEnd && line[statusEnd] != ' '))
+        return false;
+    const std::string_view status = line.substr(statusAt, statusDigits);
+    return std::all_of(status.begin(), status.end(), isDigit) && status.front() >= '1'
+        && status.front() <= '5' && status != switchingProtocols && !hasControlCharacter(line);
+}
+
 void removeHopByHopFields(http_fields &fields)
 {
     std::vector<std::string> listedFields;
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -6,6 +6,7 @@
 /// (async_client.h), and the checks of raw bytes that Beast's parser does not make.
 
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -37,6 +38,10 @@
 /// "chunked".
 bool isUnambiguousHead(const std::string &head);
 
+/// Returns whether \a line, without its line end, is the status line of a response to a request
+/// without an Upgrade field: a status from 100 to 599 other than 101, and no control characters.
+bool isValidStatusLine(std::string_view line);
+
 /// Removes the hop-by-hop fields, including those listed in the Connection field.
 void removeHopByHopFields(http_fields &fields);
 
--- /dev/null
+++ b/goldcrestdeck/testing/broken_response_test.cc
@@ -0,0 +1,381 @@
+// Responses that are broken in their status line, their header fields or their end, read by each
+// HTTP engine and by a forwarder.
+
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "goldcrestdeck/async_client.h"
+#include "goldcrestdeck/http_client.h"
+#include "goldcrestdeck/testing/router_harness.h"
+#include "platform/kv_binding.h"
+
+namespace goldcrestdeck {
+namespace {
+
+using standins::instance_faults;
+using standins::platform_instance;
+using standins::raw_connection;
+using standins::raw_server;
+using std::chrono::milliseconds;
+
+/// Status codes that cannot end a response to a request without an Upgrade field.
+const char *const invalidStatuses[]
+    = {"000", "001", "099", "101", "600", "700", "999", "20", "2x0", "+20", "-20", "2000"};
+
+enum class http_engine { async, blocking, blockingStream };
+
+const http_engine engines[]
+    = {http_engine::async, http_engine::blocking, http_engine::blockingStream};
+
+const char *toString(http_engine engine)
+{
+    switch (engine) {
+    case http_engine::async:
+        return "async";
+    case http_engine::blocking:
+        return "blocking";
+    case http_engine::blockingStream:
+        break;
+    }
+    return "blockingStream";
+}
+
+const char *const maybeSent = "failed, may have been sent";
+const char *const notSent = "failed, not sent";
+
+/// A server, on a thread of its own, whose responses are set by the test.
+class broken_server_fixture : public ::testing::Test
+{
+protected:
+    broken_server_fixture()
+        : m_server(
+            m_io, {boost::asio::ip::make_address("127.0.0.1"), 0},
+            [this](const http1_request &, const std::shared_ptr<raw_connection> &connection) {
+                ++m_requests;
+                m_respond(connection);
+            })
+        , m_workGuard(boost::asio::make_work_guard(m_io))
+        , m_thread([this] { m_io.run(); })
+    { }
+    ~broken_server_fixture() override
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+
+    /// Sends a POST with \a body. \returns the status and the body of a complete response after a
+    /// blank, otherwise maybeSent or notSent.
+    std::string call(http_engine engine, const std::string &body)
+    {
+        return engine == http_engine::async ? callAsync(body) : callBlocking(engine, body);
+    }
+
+    std::string callAsync(const std::string &body)
+    {
+        boost::asio::io_context io{1};
+        async_client client(io, m_clock);
+        std::string result;
+        std::string received;
+        response_observer observer;
+        observer.onHead = [&](const http1_response_head &head) {
+            received = std::to_string(head.result_int()) + ' ';
+        };
+        observer.onBody = [&](const std::string &piece) { received += piece; };
+        observer.onEnd = [&] { result = received; };
+        observer.onFailure = [&](call_failure failure) {
+            result = failure == call_failure::notSent ? notSent : maybeSent;
+        };
+        http1_request request(boost::beast::http::verb::post, "/x", 11);
+        request.set(boost::beast::http::field::host, "a");
+        request.body() = body;
+        request.prepare_payload();
+        call_options options;
+        options.timeout = milliseconds(callTimeoutMs);
+        client.call(m_server.address(), "server", request, std::move(observer), options);
+        while (result.empty() && io.run_one() > 0) { }
+        client.stop();
+        return result;
+    }
+
+    std::string callBlocking(http_engine engine, const std::string &body)
+    {
+        http_request request;
+        request.method = "POST";
+        request.url = "http://127.0.0.1:" + std::to_string(m_server.address().port()) + "/x";
+        request.body = body;
+        request.timeout = milliseconds(callTimeoutMs);
+        request.noRetry = true;
+        try {
+            http_client client;
+            if (engine == http_engine::blocking) {
+                const http_response response = client.send(request);
+                return std::to_string(response.status) + ' ' + response.body;
+            }
+            const auto stream = client.open(request);
+            const long status = stream->head().status;
+            std::string received;
+            while (stream->read(received)) { }
+            return std::to_string(status) + ' ' + received;
+        } catch (const http_error &error) {
+            return error.maybeSent() ? maybeSent : notSent;
+        }
+    }
+
+    /// Responds to every request with \a bytes, then closes the connection.
+    void respondWith(const std::string &bytes)
+    {
+        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+            connection->write(bytes);
+            connection->close();
+        };
+    }
+
+    /// Expects that a response of \a bytes fails in each engine and that the request, which the
+    /// server has got, is not reported as unsent and not repeated.
+    void expectFailure(const std::string &bytes)
+    {
+        respondWith(bytes);
+        for (const http_engine engine : engines) {
+            m_requests = 0;
+            EXPECT_EQ(maybeSent, call(engine, "{}")) << toString(engine);
+            EXPECT_EQ(1, m_requests) << toString(engine);
+        }
+    }
+
+    static constexpr long callTimeoutMs = 5000;
+
+    system_clock m_clock;
+    std::function<void(const std::shared_ptr<raw_connection> &)> m_respond;
+    std::atomic<int> m_requests{0};
+    boost::asio::io_context m_io{1};
+    raw_server m_server;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
+    std::thread m_thread;
+};
+
+class invalid_status_fixture : public broken_server_fixture,
+                               public ::testing::WithParamInterface<const char *>
+{ };
+
+TEST_P(invalid_status_fixture, response_fails)
+{
+    for (const char *framing : {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        SCOPED_TRACE(framing);
+        const bool isChunked = std::string(framing).find("chunked") != std::string::npos;
+        expectFailure(std::string("HTTP/1.1 ") + GetParam() + " Trouble\r\n" + framing + "\r\n"
+                      + (isChunked ? "2\r\nok\r\n0\r\n\r\n" : "ok"));
+    }
+}
+
+TEST_P(invalid_status_fixture, response_before_a_valid_one_fails)
+{
+    expectFailure(std::string("HTTP/1.1 ") + GetParam()
+                  + " Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+TEST_P(invalid_status_fixture, response_after_an_informational_one_fails)
+{
+    expectFailure(std::string("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 ") + GetParam()
+                  + " Trouble\r\nContent-Length: 2\r\n\r\nok");
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses, invalid_status_fixture, ::testing::ValuesIn(invalidStatuses));
+
+TEST_F(broken_server_fixture, unusual_valid_statuses_are_received)
+{
+    for (const std::string status : {"200", "299", "404", "418", "500", "599"}) {
+        respondWith("HTTP/1.1 " + status + " Some reason\r\nContent-Length: 2\r\n\r\nok");
+        for (const http_engine engine : engines)
+            EXPECT_EQ(status + " ok", call(engine, "{}")) << toString(engine);
+    }
+}
+
+TEST_F(broken_server_fixture, status_line_that_arrives_in_pieces_is_checked_like_a_whole_one)
+{
+    const auto respondInPieces = [this](const std::string &bytes) {
+        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+            connection->writePaced(bytes, 500);
+        };
+    };
+    const std::string end = " Some reason\r\nContent-Length: 2\r\n\r\nok";
+    for (const http_engine engine : engines) {
+        respondInPieces("HTTP/1.1 200" + end);
+        EXPECT_EQ("200 ok", call(engine, "{}")) << toString(engine);
+        respondInPieces("HTTP/1.1 000" + end);
+        EXPECT_EQ(maybeSent, call(engine, "{}")) << toString(engine);
+    }
+}
+
+TEST_F(broken_server_fixture, response_that_is_not_http_fails)
+{
+    for (const std::string bytes :
+         {"these bytes are no response\r\n\r\n", "HTTP/0.9 200 OK\r\n\r\n",
+          "HTTP/3.0 200 OK\r\n\r\n", "HTTP/1.1200 OK\r\n\r\n"}) {
+        SCOPED_TRACE(bytes);
+        expectFailure(bytes);
+    }
+}
+
+TEST_F(broken_server_fixture, response_after_informational_ones_is_received)
+{
+    respondWith("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    for (const http_engine engine : engines)
+        EXPECT_EQ("200 ok", call(engine, "{}")) << toString(engine);
+}
+
+/// The platform's store, answered by a server that sends broken responses.
+class broken_store_fixture : public broken_server_fixture
+{
+protected:
+    kv_outcome renewLease()
+    {
+        boost::asio::io_context io{1};
+        async_client client(io, m_clock);
+        store_epoch epoch;
+        const async_kv_store store
+            = platform::bindStore(client, m_clock, m_server.address(), epoch);
+        std::optional<kv_outcome> result;
+        store.renewLease(7, [&](kv_outcome outcome) { result = outcome; });
+        while (!result && io.run_one() > 0) { }
+        client.stop();
+        return result.value_or(kv_outcome::done);
+    }
+};
+
+TEST_F(broken_store_fixture, call_with_an_invalid_status_may_have_been_executed)
+{
+    for (const char *status : invalidStatuses) {
+        respondWith(std::string("HTTP/1.1 ") + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}");
+        EXPECT_EQ(kv_outcome::unknown, renewLease()) << status;
+    }
+}
+
+/// How the responses of an instance are broken.
+struct broken_form {
+    std::string name;
+    instance_faults faults;
+};
+
+std::ostream &operator<<(std::ostream &out, const broken_form &form)
+{
+    return out << form.name;
+}
+
+/// A router with two instances of each of two services, some of which send broken responses.
+class broken_instance_fixture : public router_fixture,
+                                public ::testing::WithParamInterface<broken_form>
+{
+protected:
+    static constexpr int events = 20;
+    static constexpr int eventsBeforeReset = 7;
+
+    broken_instance_fixture()
+    {
+        for (const char *id : {"plain-1", "plain-2"})
+            addInstance("plain", id);
+        for (const char *id : {"engine-1", "engine-2"})
+            addInstance("engine", id);
+        publish();
+    }
+
+    static std::string streamText(int count)
+    {
+        std::string text;
+        for (int i = 1; i <= count; ++i)
+            text += platform_instance::eventText(i);
+        return text;
+    }
+
+    static std::string postText(const std::string &path, const std::string &id)
+    {
+        return requestText("POST", path, id, "X-Model: m\r\nConnection: close\r\n", "{}");
+    }
+
+    http1_response post(const std::string &path, const std::string &id)
+    {
+        return sendRequest(postText(path, id));
+    }
+
+    static instance_faults streaming(instance_faults faults)
+    {
+        faults.events = events;
+        return faults;
+    }
+};
+
+TEST_P(broken_instance_fixture, request_that_gets_no_other_response_fails_as_maybe_run)
+{
+    setFaults(GetParam().faults);
+    EXPECT_EQ(502U, post("/safe/x", "safe").result_int());
+    EXPECT_EQ(502U, post("/once/x", "once").result_int());
+    EXPECT_EQ(1, executionsOf("once"));
+    setFaults(streaming(GetParam().faults));
+    EXPECT_EQ(502U, post("/stream/x", "stream").result_int());
+    EXPECT_EQ(502U, post("/closed/x", "closed").result_int());
+    EXPECT_EQ(1, executionsOf("closed"));
+}
+
+TEST_P(broken_instance_fixture, repeatable_request_is_served_by_another_instance)
+{
+    onLoop([&] {
+        m_standins[0]->setFaults(GetParam().faults);
+        m_standins[2]->setFaults(streaming(GetParam().faults));
+        m_standins[3]->setFaults(streaming(instance_faults()));
+    });
+    for (const std::string id : {"r0", "r1", "r2", "r3"}) {
+        const http1_response response = post("/safe/x", id);
+        EXPECT_EQ(200U, response.result_int());
+        EXPECT_EQ(platform_instance::bodyFor(id), response.body());
+        const http1_response stream = post("/stream/x", "stream-" + id);
+        EXPECT_EQ(200U, stream.result_int());
+        EXPECT_EQ(streamText(events), stream.body());
+    }
+}
+
+TEST_P(broken_instance_fixture, stream_that_gets_no_other_resumption_does_not_look_complete)
+{
+    instance_faults breaking = streaming(instance_faults());
+    breaking.resetAfterEvents = eventsBeforeReset;
+    onLoop([&] {
+        m_standins[2]->setFaults(breaking);
+        m_standins[3]->setFaults(streaming(GetParam().faults));
+    });
+    int streams = 0;
+    for (int i = 0; i < 100 && streams == 0; ++i) {
+        raw_http_client client(m_server->address());
+        client.send(postText("/stream/x", "r" + std::to_string(i)));
+        const std::string received = client.readAll();
+        if (received.find(platform_instance::eventText(eventsBeforeReset)) == std::string::npos)
+            continue; // Each send went to the other instance.
+        ++streams;
+        EXPECT_EQ(std::string::npos, received.find("\r\n0\r\n")) << "framed as complete";
+        EXPECT_EQ(received.find("HTTP/1.1"), received.rfind("HTTP/1.1"));
+        EXPECT_EQ(std::string::npos,
+                  received.find(platform_instance::eventText(eventsBeforeReset + 1)));
+    }
+    EXPECT_EQ(1, streams);
+}
+
+std::vector<broken_form> invalidStatusForms()
+{
+    std::vector<broken_form> forms;
+    for (const char *status : invalidStatuses) {
+        for (const bool isUnframed : {false, true}) {
+            broken_form form;
+            form.name = std::string("status ") + status + (isUnframed ? " unframed" : "");
+            form.faults.statusText = status;
+            form.faults.omitContentLength = isUnframed;
+            forms.push_back(form);
+        }
+    }
+    return forms;
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses, broken_instance_fixture,
+                         ::testing::ValuesIn(invalidStatusForms()));
+
+} // namespace
+} // namespace goldcrestdeck
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -470,5 +470,100 @@
         EXPECT_NE(0U, std::string(field.name_string()).rfind("Goldcrest-", 0));
 }
 
+/// A host that reaches no instance and many others, which all send the bytes that the test sets: a
+/// host that has sent a broken response is not chosen again at once.
+class broken_host_fixture : public handover_fixture
+{
+protected:
+    static constexpr int otherHosts = 40;
+
+    broken_host_fixture()
+    {
+        onLoop([this] {
+            std::set<std::string> names{"h0"};
+            std::vector<registered_host> addresses{m_hosts[0]->self()};
+            for (int i = 0; i < otherHosts; ++i) {
+                m_others.push_back(std::make_unique<standins::raw_server>(
+                    m_io,
+                    boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
+                    [this](const http1_request &request,
+                           const std::shared_ptr<standins::raw_connection> &connection) {
+                        ++m_received[std::string(request["X-Request-Id"])];
+                        connection->write(m_response);
+                        connection->close();
+                    }));
+                const std::string name = "other-" + std::to_string(i);
+                names.insert(name);
+                addresses.push_back({name, "127.0.0.1:1", "a", textOf(m_others.back()->address())});
+            }
+            routing_view view;
+            view.config = std::make_shared<routing_config>(m_config);
+            view.instances = m_instances;
+            view.hosts = std::make_shared<const std::set<std::string>>(names);
+            view.hostAddresses = std::make_shared<const std::vector<registered_host>>(addresses);
+            m_hosts[0]->setView(view, m_clock.now());
+        });
+        respondWith("200 OK", "", "");
+        cut(0, relay_cut::reset);
+        for (int i = 0; i < 20; ++i)
+            send("GET", "/safe/x", "early " + std::to_string(i));
+    }
+    ~broken_host_fixture() override
+    {
+        onLoop([this] {
+            for (const auto &other : m_others)
+                other->stop();
+        });
+    }
+
+    /// Lets the other hosts respond with \a status, \a lines and \a body, as if they had served
+    /// the request.
+    void respondWith(const std::string &status, const std::string &lines, const std::string &body)
+    {
+        http1_response_head result;
+        encodeHandoverResult({1, std::nullopt, ""}, result);
+        const std::string fields = serializeHead(result);
+        onLoop([&] {
+            m_response = "HTTP/1.1 " + status + "\r\nX-Response-Seal: s\r\n" + lines
+                + "Content-Length: " + std::to_string(body.size())
+                + fields.substr(fields.find("\r\n")) + body;
+        });
+    }
+
+    /// Expects that the response is not delivered and that an at-most-once request is sent once.
+    void expectNotDelivered(const std::string &name)
+    {
+        EXPECT_EQ(502U, send("POST", "/once/x", "once " + name).result_int()) << name;
+        EXPECT_EQ(1, onLoop([&] { return m_received["once " + name]; })) << name;
+        EXPECT_EQ(502U, send("GET", "/safe/x", "safe " + name).result_int()) << name;
+        EXPECT_EQ(502U, send("POST", "/closed/x", "closed " + name).result_int()) << name;
+    }
+
+    http1_response send(const std::string &method, const std::string &path, const std::string &id)
+    {
+        raw_http_client client(onLoop([&] { return m_hosts[0]->clientAddress(); }));
+        client.send(requestText(method, path, id, "X-Model: m\r\n", method == "GET" ? "" : "{}"));
+        return client.read();
+    }
+
+    std::vector<std::unique_ptr<standins::raw_server>> m_others;
+    std::string m_response;
+    std::map<std::string, int> m_received; ///< Requests, by id.
+};
+
+TEST_F(broken_host_fixture, valid_response_is_delivered)
+{
+    respondWith("200 OK", "", "body");
+    EXPECT_EQ("body", send("POST", "/once/x", "once").body());
+}
+
+TEST_F(broken_host_fixture, response_with_an_invalid_status_is_not_delivered)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        respondWith(status + " Trouble", "", "body");
+        expectNotDelivered(status);
+    }
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -12,14 +12,14 @@
 constexpr std::size_t endlessPieceBytes = 60'000;
 constexpr std::size_t maxEndlessBytes = 400'000'000;
 
-std::string responseHead(unsigned status, const std::string &id, const std::string &fields)
+std::string responseHead(const std::string &status, const std::string &id,
+                         const std::string &fields)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Request-Id: " + id + "\r\n"
-        + fields;
+    return "HTTP/1.1 " + status + " Status\r\nX-Request-Id: " + id + "\r\n" + fields;
 }
 
-std::string responseWithLength(unsigned status, const std::string &id, const std::string &fields,
-                               const std::string &body)
+std::string responseWithLength(const std::string &status, const std::string &id,
+                               const std::string &fields, const std::string &body)
 {
     return responseHead(status, id, fields) + "Content-Length: " + std::to_string(body.size())
         + "\r\n\r\n" + body;
@@ -71,7 +71,7 @@
     const std::string id(request["X-Request-Id"]);
     const std::string expected(request["X-Expect-Instance"]);
     if (faults.wrongInstance || (!expected.empty() && expected != m_id)) {
-        connection->write(responseWithLength(421, id, "X-Instance-Id: " + m_id + "\r\n", ""));
+        connection->write(responseWithLength("421", id, "X-Instance-Id: " + m_id + "\r\n", ""));
         return;
     }
     if (faults.repeatRefusal && m_refusal.empty()) {
@@ -85,7 +85,7 @@
         connection->write(m_refusal);
     if (faults.rejectUnexecuted) {
         connection->write(
-            responseWithLength(503, id, stateFields(faults) + "X-Not-Executed: 1\r\n", ""));
+            responseWithLength("503", id, stateFields(faults) + "X-Not-Executed: 1\r\n", ""));
         return;
     }
     ++m_executions[id];
@@ -112,7 +112,7 @@
     }
     if (faults.endlessStale) {
         const std::string body(endlessPieceBytes, 'x');
-        sendEndlessly(connection, responseWithLength(200, "an-earlier-request", "", body),
+        sendEndlessly(connection, responseWithLength("200", "an-earlier-request", "", body),
                       faults.stallAfterBytes);
         return;
     }
@@ -122,7 +122,7 @@
             fields += "Transfer-Encoding: chunked\r\n";
         if (!faults.declaredLength.empty())
             fields += "Content-Length: " + faults.declaredLength + "\r\n";
-        connection->write(responseHead(200, id, fields) + "\r\n");
+        connection->write(responseHead("200", id, fields) + "\r\n");
         if (faults.endlessChunkSize)
             connection->write("1;");
         const std::string piece(endlessPieceBytes, 'x');
@@ -144,6 +144,8 @@
         m_server.crash();
         return;
     }
+    const std::string status
+        = faults.statusText.empty() ? std::to_string(faults.status) : faults.statusText;
     std::string fields = stateFields(faults);
     if (!faults.omitSeal)
         fields += "X-Response-Seal: seal-" + m_id + "-" + id + "\r\n";
@@ -156,19 +158,19 @@
             fields += "Content-Type: text/event-stream\r\n";
         if (!faults.omitContentLength)
             fields += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        connection->write((responseHead(200, id, fields) + "\r\n")
+        connection->write((responseHead(status, id, fields) + "\r\n")
                               .substr(0, static_cast<std::size_t>(faults.closeAfterHeadBytes)));
         connection->close();
         return;
     }
     if (faults.staleResponseFirst)
-        connection->write(responseWithLength(200, "an-earlier-request",
+        connection->write(responseWithLength("200", "an-earlier-request",
                                              "X-Response-Seal: other\r\n", "other body"));
     if (faults.events > 0 && faults.status == 200) {
         fields += "Content-Type: text/event-stream\r\n";
         if (!faults.omitContentLength)
             fields += "Transfer-Encoding: chunked\r\n";
-        connection->write(responseHead(200, id, fields) + "\r\n");
+        connection->write(responseHead(status, id, fields) + "\r\n");
         const std::string prompt(request["X-Prompt-Prefix"]);
         if (!faults.crashSegment.empty()
             && prompt.find(faults.crashSegment + ':') != std::string::npos) {
@@ -181,7 +183,7 @@
         return;
     }
     if (faults.omitContentLength) {
-        connection->write(responseHead(faults.status, id, fields) + "\r\n" + body);
+        connection->write(responseHead(status, id, fields) + "\r\n" + body);
         if (faults.resetAtEnd)
             connection->runAfter(std::chrono::milliseconds(20),
                                  [connection] { connection->reset(); });
@@ -190,7 +192,7 @@
         return;
     }
     fields += "Content-Type: text/plain\r\n";
-    const std::string response = responseWithLength(faults.status, id, fields, body);
+    const std::string response = responseWithLength(status, id, fields, body);
     if (faults.truncateBody) {
         connection->write(response.substr(0, response.size() - 3));
         connection->close();
