Responses with a malformed header field fail instead of reaching the client

What callers saw: a response whose head had a line such as " X-Bad: 1" after another field was delivered, with that line passed on as part of the field before it; " Content-Length: 4" or " Transfer-Encoding: chunked" in that place did not frame the body, so that chunk sizes, or all bytes until the connection ended, were delivered as the body. The same held for responses of other hosts and of the store. Through http_client (etcd, host list, upstreams of goldcrestd) any bytes passed as a field name: a blank, a tab or a control character in it, before it or before the colon, also in "Content-Length : 4".

Cause: Beast joins a line that begins with a blank to the field before it (obs-fold); libcurl hands over every line as it is. async_server checks the lines of a request's head for that reason; the clients did not check those of a response.

Change: isValidField(), a token directly followed by a colon and no control characters, now also serves isUnambiguousHead(). async_client checks each complete line of a head before the parser can consume it, http_client in its header callback, interim responses and trailers included. RFC 9112, 5.2 allows a proxy to replace a response with a folded line by a 502. Values keep tabs and bytes above 0x7f; names keep all token characters (tested).

Ruled out: the framing checks of isUnambiguousHead() on responses; Beast rejects or reads those forms itself and they are not part of the fault.

--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -163,6 +163,9 @@
 private:
     using parser = http::response_parser<http::string_body>;
 
+    /// Which line of the current response's head is checked next.
+    enum class head_check { statusLine, fields, complete };
+
     void prepare(std::uint64_t callId, const http1_request &request, response_observer observer,
                  call_options options)
     {
@@ -193,7 +196,8 @@
         m_parser->eager(true);
         if (m_isHeadRequest)
             m_parser->skip(true);
-        m_statusLineChecked = false;
+        m_headCheck = head_check::statusLine;
+        m_checkedBytes = 0;
         m_headReported = false;
         m_isOwnResponse = true;
         m_receivedBytes = false;
@@ -314,13 +318,14 @@
         while (m_busy && !m_closed && m_buffer.size() > 0) {
             if (m_parser->is_done())
                 return;
-            if (!checkStatusLine()) {
+            if (!checkHead()) {
                 fail(call_failure::malformed);
                 return;
             }
             error_code error;
             const std::size_t used = m_parser->put(m_buffer.cdata(), error);
             m_buffer.consume(used);
+            m_checkedBytes -= std::min(m_checkedBytes, used);
             if (error && error != http::error::need_more) {
                 fail(call_failure::malformed);
                 return;
@@ -341,19 +346,31 @@
         }
     }
 
-    /// Checks the status line once it has arrived. The parser consumes complete lines only.
-    /// \returns false if it is invalid.
-    bool checkStatusLine()
+    /// Checks the lines of the head that have arrived since the last call. The parser consumes
+    /// complete lines only, so it has consumed none that is unchecked.
+    /// \returns false if one is malformed.
+    bool checkHead()
     {
-        if (m_statusLineChecked)
-            return true;
+        constexpr std::string_view lineEnd = "\r\n";
         const auto data = m_buffer.cdata();
         const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
-        const std::size_t end = bytes.find("\r\n");
-        if (end == std::string_view::npos)
-            return true;
-        m_statusLineChecked = true;
-        return isValidStatusLine(bytes.substr(0, end));
+        while (m_headCheck != head_check::complete) {
+            const std::size_t end = bytes.find(lineEnd, m_checkedBytes);
+            if (end == std::string_view::npos)
+                return true;
+            const std::string_view line = bytes.substr(m_checkedBytes, end - m_checkedBytes);
+            m_checkedBytes = end + lineEnd.size();
+            if (m_headCheck == head_check::statusLine) {
+                if (!isValidStatusLine(line))
+                    return false;
+                m_headCheck = head_check::fields;
+            } else if (line.empty()) {
+                m_headCheck = head_check::complete;
+            } else if (!isValidField(line)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /// Passes newly parsed data to the observer. \returns false if the call has ended.
@@ -474,7 +491,8 @@
     bool m_paused = false;
     bool m_requestWritten = false;
     bool m_startedWriting = false;
-    bool m_statusLineChecked = false;
+    head_check m_headCheck = head_check::statusLine;
+    std::size_t m_checkedBytes = 0; ///< At the start of the buffer, while the head is incomplete.
     bool m_headReported = false;
     bool m_isOwnResponse = true;
     bool m_isReused = false;      ///< The connection has carried an earlier request.
--- a/goldcrestdeck/http_client.cc
+++ b/goldcrestdeck/http_client.cc
@@ -200,12 +200,14 @@
     bool addHeadLine(const std::string &line)
     {
         const std::string_view text = withoutLineEnd(line);
-        if (std::exchange(m_headBegins, text.empty()) && text.substr(0, 5) == "HTTP/") {
-            m_isMalformed = !isValidStatusLine(text);
-            return !m_isMalformed;
-        }
+        const bool isStatusLine = m_headBegins && text.substr(0, 5) == "HTTP/";
+        m_headBegins = text.empty();
+        m_isMalformed
+            = isStatusLine ? !isValidStatusLine(text) : !text.empty() && !isValidField(text);
+        if (m_isMalformed)
+            return false;
         const std::size_t colon = line.find(':');
-        if (colon != std::string::npos)
+        if (!isStatusLine && colon != std::string::npos)
             m_response.headers.push_back(
                 {trimmed(line.substr(0, colon)), trimmed(line.substr(colon + 1))});
         return true;
--- a/goldcrestdeck/http_message.cc
+++ b/goldcrestdeck/http_message.cc
@@ -1,6 +1,7 @@
 // Beast accepts folded lines and repeated fields, which the parser of an upstream may interpret
-// differently; requests that contain them are rejected before they are parsed. Beast and libcurl
-// accept any three digits as a status, so both HTTP clients check the status line of a response.
+// differently; requests that contain them are rejected before they are parsed. Of a response, Beast
+// and libcurl accept any three digits as a status, Beast accepts folded lines, and libcurl any
+// bytes as a field, so both HTTP clients check each line of its head.
 
 #include "goldcrestdeck/http_message.h"
 
@@ -46,14 +47,18 @@
     int hosts = 0;
 };
 
+bool isTokenCharacter(char byte)
+{
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    return isDigit(byte) || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z')
+        || punctuation.find(byte) != std::string_view::npos;
+}
+
 bool isUnambiguousField(const std::string &line, framing_field_counts &seen)
 {
-    if (line.front() == ' ' || line.front() == '\t')
+    if (!isValidField(line))
         return false;
     const std::size_t colon = line.find(':');
-    if (colon == std::string::npos || colon == 0 || line[colon - 1] == ' '
-        || line[colon - 1] == '\t')
-        return false;
     const std::string name = line.substr(0, colon);
     const std::string value = boost::algorithm::trim_copy(line.substr(colon + 1));
     if (boost::algorithm::iequals(name, "Content-Length"))
@@ -102,9 +107,7 @@
         if (line.empty())
             return begin == head.size() && !first
                 && (seen.contentLengths == 0 || seen.transferEncodings == 0);
-        if (hasControlCharacter(line))
-            return false;
-        if (!first && !isUnambiguousField(line, seen))
+        if (first ? hasControlCharacter(line) : !isUnambiguousField(line, seen))
             return false;
         first = false;
     }
@@ -127,6 +130,15 @@
         && status.front() <= '5' && status != switchingProtocols && !hasControlCharacter(line);
 }
 
+bool isValidField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return false;
+    const std::string_view name = line.substr(0, colon);
+    return std::all_of(name.begin(), name.end(), isTokenCharacter) && !hasControlCharacter(line);
+}
+
 void removeHopByHopFields(http_fields &fields)
 {
     std::vector<std::string> listedFields;
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -42,6 +42,10 @@
 /// without an Upgrade field: a status from 100 to 599 other than 101, and no control characters.
 bool isValidStatusLine(std::string_view line);
 
+/// Returns whether \a line, without its line end, is one header field: a token as its name,
+/// directly followed by a colon, and no control characters. A folded line is none.
+bool isValidField(std::string_view line);
+
 /// Removes the hop-by-hop fields, including those listed in the Connection field.
 void removeHopByHopFields(http_fields &fields);
 
--- a/goldcrestdeck/testing/broken_response_test.cc
+++ b/goldcrestdeck/testing/broken_response_test.cc
@@ -24,6 +24,63 @@
 const char *const invalidStatuses[]
     = {"000", "001", "099", "101", "600", "700", "999", "20", "2x0", "+20", "-20", "2000"};
 
+struct named_text {
+    const char *name;
+    std::string text;
+};
+
+std::ostream &operator<<(std::ostream &out, const named_text &value)
+{
+    return out << value.name;
+}
+
+/// Lines that are no header field, each with its line end.
+const std::vector<named_text> &malformedHeadLines()
+{
+    static const std::vector<named_text> lines{
+        {"blank_in_name", "X Bad: 1\r\n"},
+        {"blanks_in_name", "X  Bad Name: 1\r\n"},
+        {"tab_in_name", "X\tBad: 1\r\n"},
+        {"blank_before_colon", "X-Bad : 1\r\n"},
+        {"tab_before_colon", "X-Bad\t: 1\r\n"},
+        {"blank_before_name", " X-Bad: 1\r\n"},
+        {"tab_before_name", "\tX-Bad: 1\r\n"},
+        {"only_blanks", "  \r\n"},
+        {"blank_as_name", " : 1\r\n"},
+        {"blank_in_length", "Content Length: 2\r\n"},
+        {"blank_before_colon_of_length", "Content-Length : 2\r\n"},
+        {"blank_before_length", " Content-Length: 2\r\n"},
+        {"blank_before_colon_of_coding", "Transfer-Encoding : chunked\r\n"},
+        {"blank_before_coding", " Transfer-Encoding: chunked\r\n"},
+        {"control_byte_in_name",
+         "X\x01"
+         "Bad: 1\r\n"},
+        {"control_byte_before_name", "\x02X-Bad: 1\r\n"},
+        {"control_byte_before_colon", "X-Bad\x1f: 1\r\n"},
+        {"control_byte_in_length", "Content-Length\x0b: 2\r\n"},
+        {"null_in_name", std::string("X\0Bad: 1\r\n", 10)},
+        {"delete_in_name",
+         "X\x7f"
+         "Bad: 1\r\n"},
+        {"carriage_return_in_name", "X\rBad: 1\r\n"},
+        {"line_feed_in_name", "X\nBad: 1\r\n"},
+        {"parenthesis_in_name", "X(Bad: 1\r\n"},
+        {"comma_in_name", "X,Bad: 1\r\n"},
+        {"quote_in_name", "X\"Bad: 1\r\n"},
+        {"high_byte_in_name",
+         "X\xe4"
+         "Bad: 1\r\n"},
+        {"no_name", ": 1\r\n"},
+        {"no_colon", "X-Bad\r\n"},
+        {"control_byte_in_value",
+         "X-Bad: a\x01"
+         "b\r\n"},
+        {"null_in_value", std::string("X-Bad: a\0b\r\n", 12)},
+        {"carriage_return_in_value", "X-Bad: a\rX-Worse: b\r\n"},
+    };
+    return lines;
+}
+
 enum class http_engine { async, blocking, blockingStream };
 
 const http_engine engines[]
@@ -132,6 +189,15 @@
         };
     }
 
+    /// Responds to every request with \a bytes, some of them at a time.
+    void respondInPieces(const std::string &bytes)
+    {
+        constexpr std::size_t bytesPerSecond = 700;
+        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+            connection->writePaced(bytes, bytesPerSecond);
+        };
+    }
+
     /// Expects that a response of \a bytes fails in each engine and that the request, which the
     /// server has got, is not reported as unsent and not repeated.
     void expectFailure(const std::string &bytes)
@@ -194,11 +260,6 @@
 
 TEST_F(broken_server_fixture, status_line_that_arrives_in_pieces_is_checked_like_a_whole_one)
 {
-    const auto respondInPieces = [this](const std::string &bytes) {
-        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
-            connection->writePaced(bytes, 500);
-        };
-    };
     const std::string end = " Some reason\r\nContent-Length: 2\r\n\r\nok";
     for (const http_engine engine : engines) {
         respondInPieces("HTTP/1.1 200" + end);
@@ -226,6 +287,58 @@
         EXPECT_EQ("200 ok", call(engine, "{}")) << toString(engine);
 }
 
+class malformed_head_fixture : public broken_server_fixture,
+                               public ::testing::WithParamInterface<named_text>
+{ };
+
+TEST_P(malformed_head_fixture, response_with_the_line_first_fails)
+{
+    expectFailure("HTTP/1.1 200 OK\r\n" + GetParam().text + "Content-Length: 4\r\n\r\nbody");
+}
+
+TEST_P(malformed_head_fixture, response_with_the_line_last_fails)
+{
+    expectFailure("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + GetParam().text + "\r\nbody");
+}
+
+TEST_P(malformed_head_fixture, response_without_other_framing_fails)
+{
+    expectFailure("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + GetParam().text + "\r\nbody");
+}
+
+TEST_P(malformed_head_fixture, informational_response_with_the_line_fails)
+{
+    expectFailure("HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n" + GetParam().text
+                  + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+INSTANTIATE_TEST_SUITE_P(lines, malformed_head_fixture, ::testing::ValuesIn(malformedHeadLines()),
+                         [](const auto &line) { return line.param.name; });
+
+TEST_F(broken_server_fixture, unusual_valid_fields_are_received)
+{
+    for (const std::string line :
+         {"x!#$%&'*+-.^_`|~9: 1", "X-Empty:", "X-Empty: ", "X-Tab:\ta\tb\t", "X-High: \xe4\xff",
+          "X-Punctuation: (a), \"b: c\"; d = [e]", "X-Twice: 1\r\nX-Twice: 2"}) {
+        std::string response = "HTTP/1.1 200 OK\r\n";
+        response.append(line).append("\r\nContent-Length: 2\r\n\r\nok");
+        respondWith(response);
+        for (const http_engine engine : engines)
+            EXPECT_EQ("200 ok", call(engine, "{}")) << toString(engine) << ' ' << line;
+    }
+}
+
+TEST_F(broken_server_fixture, head_that_arrives_in_pieces_is_checked_like_a_whole_one)
+{
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    for (const http_engine engine : engines) {
+        respondInPieces("HTTP/1.1 200 OK\r\nX-First: 1\r\nX-Second: 2\r\n" + end);
+        EXPECT_EQ("200 ok", call(engine, "{}")) << toString(engine);
+        respondInPieces("HTTP/1.1 200 OK\r\nX-First: 1\r\nX Second: 2\r\n" + end);
+        EXPECT_EQ(maybeSent, call(engine, "{}")) << toString(engine);
+    }
+}
+
 /// The platform's store, answered by a server that sends broken responses.
 class broken_store_fixture : public broken_server_fixture
 {
@@ -253,6 +366,15 @@
     }
 }
 
+TEST_F(broken_store_fixture, call_with_a_malformed_head_may_have_been_executed)
+{
+    for (const named_text &line : malformedHeadLines()) {
+        respondWith("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line.text
+                    + "Content-Length: 2\r\n\r\n{}");
+        EXPECT_EQ(kv_outcome::unknown, renewLease()) << line.name;
+    }
+}
+
 /// How the responses of an instance are broken.
 struct broken_form {
     std::string name;
@@ -377,5 +499,22 @@
 INSTANTIATE_TEST_SUITE_P(statuses, broken_instance_fixture,
                          ::testing::ValuesIn(invalidStatusForms()));
 
+std::vector<broken_form> malformedHeadForms()
+{
+    std::vector<broken_form> forms;
+    for (const named_text &line : malformedHeadLines()) {
+        for (const bool isUnframed : {false, true}) {
+            broken_form form;
+            form.name = std::string(line.name) + (isUnframed ? " unframed" : "");
+            form.faults.headLine = line.text;
+            form.faults.omitContentLength = isUnframed;
+            forms.push_back(form);
+        }
+    }
+    return forms;
+}
+
+INSTANTIATE_TEST_SUITE_P(lines, broken_instance_fixture, ::testing::ValuesIn(malformedHeadForms()));
+
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -565,5 +565,14 @@
     }
 }
 
+TEST_F(broken_host_fixture, response_with_a_malformed_field_name_is_not_delivered)
+{
+    int forms = 0;
+    for (const std::string name : {"X Bad", "X-Bad ", " X-Bad", "\tX-Bad", "X\x01-Bad"}) {
+        respondWith("200 OK", "X-First: 1\r\n" + name + ": 1\r\n", "body");
+        expectNotDelivered("form " + std::to_string(forms++));
+    }
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -152,6 +152,7 @@
     const bool isSmall = request["X-Model"] == "small";
     if (faults.confidence >= 0)
         fields += "X-Confidence: " + std::to_string(isSmall ? faults.confidence : 100) + "\r\n";
+    fields += faults.headLine;
     const std::string body = bodyFor(id);
     if (faults.closeAfterHeadBytes >= 0) {
         if (faults.events > 0)
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -19,6 +19,7 @@
 struct instance_faults {
     unsigned status = 200;
     std::string statusText;        ///< Sent in place of the status, as it is; empty: none.
+    std::string headLine;          ///< Added to the head, as it is, with its line end; empty: none.
     bool rejectUnexecuted = false; ///< Rejects the request without executing it.
     bool wrongInstance = false;    ///< Responds with 421, as if another instance were addressed.
     int confidence = -1;           ///< Sent for the model "small"; 100 for others; negative: none.
