A response cut before its request was received is not complete

What callers saw: an instance answers a long upload at once with a 200 without a length, sends part of the body and ends the connection while the upload is still being written. If its end (FIN) arrived before the reset, the part was delivered as a complete response, also for at-most-once requests; a stream cut between two events ended as complete, on a resumption too. The same held for a response of another host and in http_client.

Cause: a body without a length or chunks ends with the connection, and both clients took any end of the server's data for that of the body. A server that closes before it has received the whole request sends its end first and the reset when more of the request arrives; after the end, Linux reports the reset to a writer only.

Change: such an end completes a response only if the whole request had been written and the peer's TCP had acknowledged it (unacknowledgedBytes(), SIOCOUTQ; the end itself acknowledges all that arrived before it). Otherwise the call is broken: a repeatable request is sent to another instance, a stream is resumed or cut off, others end with 502. http_client gets the socket's state from libcurl's callback for closing it. A refusal (X-Not-Executed, 421) stays one however its body ends, so that an early refusal is still repeated elsewhere; before, it was not after a reset.

Early responses with a length, and those without one to requests that had been received, are delivered as before (tested).

--- a/goldcrestdeck/active_request_send.cc
+++ b/goldcrestdeck/active_request_send.cc
@@ -372,6 +372,11 @@
         onHostFailure(failure);
         return;
     }
+    // What the head says of the execution is true however the body ends.
+    if (m_mode != response_mode::none && m_metadata.notExecuted) {
+        onEnd();
+        return;
+    }
     const bool notDelivered = failure == call_failure::notSent;
     recordCrashEvidence(failure);
     endSend(resultOf(failure), toString(failure));
--- a/goldcrestdeck/async_client.cc
+++ b/goldcrestdeck/async_client.cc
@@ -18,6 +18,7 @@
 
 #include "goldcrestdeck/async_server.h"
 #include "goldcrestdeck/one_shot_timer.h"
+#include "goldcrestdeck/socket_queue.h"
 
 namespace goldcrestdeck {
 
@@ -298,11 +299,13 @@
     void onReadError(const error_code &error)
     {
         // A body without Content-Length or chunks ends where the server closes the connection. A
-        // success without a byte of it is taken for one that was cut after its head.
+        // success without a byte of it is taken for one that was cut after its head, and a body
+        // that ends before the server has received the whole request for one that was cut: the
+        // reset that follows then arrives after the end.
         const bool isCutAfterHead = !m_receivedBody && m_parser->is_header_done()
             && m_parser->get().result_int() / 100 == 2;
         if (error == asio::error::eof && m_receivedBytes && m_isOwnResponse && !isCutAfterHead
-            && m_parser->is_header_done() && !m_parser->is_done()) {
+            && isRequestReceived() && m_parser->is_header_done() && !m_parser->is_done()) {
             error_code eofError;
             m_parser->put_eof(eofError);
             if (!eofError && m_parser->is_done()) {
@@ -313,6 +316,11 @@
         fail(call_failure::broken);
     }
 
+    bool isRequestReceived()
+    {
+        return m_requestWritten && unacknowledgedBytes(m_socket.native_handle()) == 0;
+    }
+
     void parse()
     {
         while (m_busy && !m_closed && m_buffer.size() > 0) {
--- a/goldcrestdeck/http_client.cc
+++ b/goldcrestdeck/http_client.cc
@@ -10,8 +10,10 @@
 #include <utility>
 
 #include <curl/curl.h>
+#include <unistd.h>
 
 #include "goldcrestdeck/http_message.h"
+#include "goldcrestdeck/socket_queue.h"
 
 namespace goldcrestdeck {
 
@@ -22,11 +24,25 @@
 constexpr long connectTimeoutMs = 1000;
 constexpr int pollIntervalMs = 1000;
 
+/// What is known of the connections of a handle that have been closed.
+struct closed_connections {
+    bool hasUnacknowledged = false; ///< The server had not received all that was sent to it.
+};
+
 struct curl_handles {
     CURLM *multi = nullptr; ///< Owns the keep-alive connections used by streams.
     CURL *easy = nullptr;
+    /// Connections refer to it, so it lives as long as the handles.
+    std::shared_ptr<closed_connections> closed;
 };
 
+int closeSocket(void *closed, curl_socket_t socket)
+{
+    if (unacknowledgedBytes(socket) > 0)
+        static_cast<closed_connections *>(closed)->hasUnacknowledged = true;
+    return close(socket);
+}
+
 bool equalNoCase(const std::string &a, const std::string &b)
 {
     const auto same
@@ -87,7 +103,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (m_idle.empty())
-            return {curl_multi_init(), curl_easy_init()};
+            return {curl_multi_init(), curl_easy_init(), std::make_shared<closed_connections>()};
         const curl_handles handles = m_idle.back();
         m_idle.pop_back();
         return handles;
@@ -144,6 +160,9 @@
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &transfer::onBody);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+        m_curl.closed->hasUnacknowledged = false;
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, m_curl.closed.get());
     }
     transfer(const transfer &) = delete;
     transfer &operator=(const transfer &) = delete;
@@ -161,11 +180,17 @@
         curl_easy_getinfo(m_curl.easy, CURLINFO_RESPONSE_CODE, &m_response.status);
     }
 
-    [[noreturn]] void fail(CURLcode code) const
+    /// \throws http_error unless the transfer, which ended with \a code, got a complete response.
+    void checkComplete(CURLcode code) const
     {
-        throw http_error(m_isMalformed ? "the head of the response is malformed"
-                                       : curl_easy_strerror(code),
-                         mayHaveBeenSent(code));
+        if (code != CURLE_OK)
+            throw http_error(m_isMalformed ? "the head of the response is malformed"
+                                           : curl_easy_strerror(code),
+                             mayHaveBeenSent(code));
+        // The end of the connection marks the end of the response only if the server had received
+        // the whole request: otherwise a reset follows, and the response was cut.
+        if (endsWithConnection() && !isRequestReceived())
+            throw http_error("the connection ended before the request had been sent", true);
     }
 
 private:
@@ -189,6 +214,24 @@
         curl_easy_setopt(m_curl.easy, CURLOPT_HTTPHEADER, m_headerList);
     }
 
+    /// Returns whether the body of the response has no other end than that of the connection.
+    bool endsWithConnection() const
+    {
+        constexpr long noContent = 204;
+        constexpr long notModified = 304;
+        long status = 0;
+        curl_easy_getinfo(m_curl.easy, CURLINFO_RESPONSE_CODE, &status);
+        return !m_isFramed && status != noContent && status != notModified;
+    }
+
+    bool isRequestReceived() const
+    {
+        curl_off_t uploaded = 0;
+        curl_easy_getinfo(m_curl.easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+        return static_cast<std::size_t>(uploaded) == m_request.body.size()
+            && !m_curl.closed->hasUnacknowledged;
+    }
+
     static std::size_t onHeader(char *data, std::size_t, std::size_t size, void *self)
     {
         // libcurl aborts the transfer if less than the line is reported as consumed.
@@ -206,13 +249,23 @@
             = isStatusLine ? !isValidStatusLine(text) : !text.empty() && !isValidField(text);
         if (m_isMalformed)
             return false;
-        const std::size_t colon = line.find(':');
-        if (!isStatusLine && colon != std::string::npos)
-            m_response.headers.push_back(
-                {trimmed(line.substr(0, colon)), trimmed(line.substr(colon + 1))});
+        if (isStatusLine)
+            m_isFramed = false;
+        else if (!text.empty())
+            addField(line);
         return true;
     }
 
+    void addField(const std::string &line)
+    {
+        const std::size_t colon = line.find(':');
+        const http_header field{trimmed(line.substr(0, colon)), trimmed(line.substr(colon + 1))};
+        if (equalNoCase(field.name, "Content-Length")
+            || equalNoCase(field.name, "Transfer-Encoding"))
+            m_isFramed = true;
+        m_response.headers.push_back(field);
+    }
+
     static std::size_t onBody(char *data, std::size_t, std::size_t size, void *self)
     {
         std::string &body = static_cast<transfer *>(self)->m_response.body;
@@ -229,6 +282,7 @@
     http_response m_response;
     bool m_headBegins = true; ///< The next line is a status line, or a trailer field.
     bool m_isMalformed = false;
+    bool m_isFramed = false; ///< The last head has a Content-Length or Transfer-Encoding field.
 };
 
 class http_client::stream : public http_stream
@@ -251,8 +305,8 @@
     {
         while (!m_finished && buffer().empty())
             performTransfer(pollIntervalMs);
-        if (m_finished && m_result != CURLE_OK)
-            m_transfer.fail(m_result);
+        if (m_finished)
+            m_transfer.checkComplete(m_result);
         m_transfer.updateStatus();
         return m_transfer.response();
     }
@@ -266,8 +320,7 @@
             buffer().clear();
             return true;
         }
-        if (m_result != CURLE_OK)
-            m_transfer.fail(m_result);
+        m_transfer.checkComplete(m_result);
         return false;
     }
 
@@ -309,8 +362,7 @@
 {
     transfer exchange(m_pool, request);
     const CURLcode result = curl_easy_perform(exchange.curl().easy);
-    if (result != CURLE_OK)
-        exchange.fail(result);
+    exchange.checkComplete(result);
     exchange.updateStatus();
     return std::move(exchange.response());
 }
--- a/goldcrestdeck/testing/broken_response_test.cc
+++ b/goldcrestdeck/testing/broken_response_test.cc
@@ -112,6 +112,13 @@
             [this](const http1_request &, const std::shared_ptr<raw_connection> &connection) {
                 ++m_requests;
                 m_respond(connection);
+            },
+            [this](const http1_request_head &, const std::shared_ptr<raw_connection> &connection) {
+                if (!m_respondToHead)
+                    return false;
+                ++m_requests;
+                m_respond(connection);
+                return true;
             })
         , m_workGuard(boost::asio::make_work_guard(m_io))
         , m_thread([this] { m_io.run(); })
@@ -214,6 +221,7 @@
 
     system_clock m_clock;
     std::function<void(const std::shared_ptr<raw_connection> &)> m_respond;
+    bool m_respondToHead = false; ///< Responds before the body has been read, which is left unread.
     std::atomic<int> m_requests{0};
     boost::asio::io_context m_io{1};
     raw_server m_server;
@@ -339,6 +347,123 @@
     }
 }
 
+/// A server that responds without a length to the head of a request and sends part of its body.
+class unframed_response_fixture : public broken_server_fixture
+{
+protected:
+    enum class ending { reset, close, closeForSending };
+
+    /// More than the buffers of both sockets hold: the client is still writing when the response
+    /// ends.
+    static constexpr std::size_t endlessUpload = 24'000'000;
+    /// Held by the client's socket when the response ends, but more than the server's takes.
+    static constexpr std::size_t longUpload = 2'000'000;
+
+    void respondEarly(std::size_t bodyBytes, ending how)
+    {
+        m_respondToHead = true;
+        const std::string bytes
+            = "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\n" + std::string(bodyBytes, 'x');
+        m_respond = [bytes, how](const std::shared_ptr<raw_connection> &connection) {
+            connection->write(bytes);
+            const auto end = [connection, how] {
+                switch (how) {
+                case ending::reset:
+                    connection->reset();
+                    break;
+                case ending::close:
+                    connection->close();
+                    break;
+                case ending::closeForSending:
+                    connection->closeForSending();
+                    connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
+                    break;
+                }
+            };
+            // The client has read the part of the body by then.
+            connection->runAfter(milliseconds(20), end);
+        };
+    }
+
+    void expectFailures(ending how)
+    {
+        for (const std::size_t upload : {endlessUpload, longUpload}) {
+            for (const std::size_t bodyBytes : {1U, 1000U, 100'000U}) {
+                respondEarly(bodyBytes, how);
+                for (const http_engine engine : engines) {
+                    m_requests = 0;
+                    const std::string result = call(engine, std::string(upload, 'u'));
+                    EXPECT_EQ(maybeSent, result.substr(0, 40))
+                        << toString(engine) << " upload " << upload << " body " << bodyBytes;
+                    EXPECT_EQ(1, m_requests) << toString(engine);
+                }
+            }
+        }
+    }
+};
+
+TEST_F(unframed_response_fixture, response_that_ends_in_a_reset_fails)
+{
+    expectFailures(ending::reset);
+}
+
+TEST_F(unframed_response_fixture, response_that_ends_in_a_close_fails)
+{
+    expectFailures(ending::close);
+}
+
+TEST_F(unframed_response_fixture, response_whose_end_arrives_before_the_request_has_been_sent_fails)
+{
+    expectFailures(ending::closeForSending);
+}
+
+TEST_F(unframed_response_fixture, response_that_ends_at_once_after_its_body_fails)
+{
+    m_respondToHead = true;
+    for (const bool isReset : {true, false}) {
+        m_respond = [isReset](const std::shared_ptr<raw_connection> &connection) {
+            connection->write("HTTP/1.1 200 OK\r\n\r\npart");
+            if (isReset)
+                connection->reset();
+            else
+                connection->close();
+        };
+        for (const http_engine engine : engines)
+            EXPECT_EQ(maybeSent, call(engine, std::string(endlessUpload, 'u')).substr(0, 40))
+                << toString(engine) << (isReset ? " reset" : " close");
+    }
+}
+
+TEST_F(unframed_response_fixture, response_to_a_request_that_has_been_sent_is_received)
+{
+    respondEarly(1000, ending::closeForSending);
+    for (const http_engine engine : engines)
+        EXPECT_EQ("200 " + std::string(1000, 'x'), call(engine, std::string(3000, 'u')))
+            << toString(engine);
+}
+
+TEST_F(unframed_response_fixture, response_to_a_long_request_that_has_been_read_is_received)
+{
+    respondEarly(1000, ending::close);
+    m_respondToHead = false;
+    for (const http_engine engine : engines)
+        EXPECT_EQ("200 " + std::string(1000, 'x'), call(engine, std::string(longUpload, 'u')))
+            << toString(engine);
+}
+
+TEST_F(unframed_response_fixture,
+       response_with_a_length_is_received_before_the_request_has_been_sent)
+{
+    m_respondToHead = true;
+    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
+        connection->write("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nok");
+        connection->closeForSending();
+        connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
+    };
+    for (const http_engine engine : engines)
+        EXPECT_EQ("413 ok", call(engine, std::string(endlessUpload, 'u'))) << toString(engine);
+}
+
 /// The platform's store, answered by a server that sends broken responses.
 class broken_store_fixture : public broken_server_fixture
 {
@@ -379,6 +504,8 @@
 struct broken_form {
     std::string name;
     instance_faults faults;
+    std::size_t requestBytes = 2; ///< Length of the requests' bodies.
+    bool hasEvents = false;       ///< Of a stream, some events precede the fault.
 };
 
 std::ostream &operator<<(std::ostream &out, const broken_form &form)
@@ -413,7 +540,8 @@
 
     static std::string postText(const std::string &path, const std::string &id)
     {
-        return requestText("POST", path, id, "X-Model: m\r\nConnection: close\r\n", "{}");
+        return requestText("POST", path, id, "X-Model: m\r\nConnection: close\r\n",
+                           std::string(GetParam().requestBytes, 'u'));
     }
 
     http1_response post(const std::string &path, const std::string &id)
@@ -434,10 +562,20 @@
     EXPECT_EQ(502U, post("/safe/x", "safe").result_int());
     EXPECT_EQ(502U, post("/once/x", "once").result_int());
     EXPECT_EQ(1, executionsOf("once"));
+}
+
+TEST_P(broken_instance_fixture, stream_that_gets_no_other_response_does_not_look_complete)
+{
     setFaults(streaming(GetParam().faults));
-    EXPECT_EQ(502U, post("/stream/x", "stream").result_int());
-    EXPECT_EQ(502U, post("/closed/x", "closed").result_int());
-    EXPECT_EQ(1, executionsOf("closed"));
+    for (const std::string path : {"/stream/x", "/closed/x"}) {
+        raw_http_client client(m_server->address());
+        client.send(postText(path, path));
+        const std::string received = client.readAll();
+        const char *status = GetParam().hasEvents ? "HTTP/1.1 200" : "HTTP/1.1 502";
+        EXPECT_EQ(0U, received.rfind(status, 0)) << received;
+        EXPECT_EQ(std::string::npos, received.find("\r\n0\r\n")) << "framed as complete";
+    }
+    EXPECT_EQ(1, executionsOf("/closed/x"));
 }
 
 TEST_P(broken_instance_fixture, repeatable_request_is_served_by_another_instance)
@@ -475,8 +613,8 @@
         ++streams;
         EXPECT_EQ(std::string::npos, received.find("\r\n0\r\n")) << "framed as complete";
         EXPECT_EQ(received.find("HTTP/1.1"), received.rfind("HTTP/1.1"));
-        EXPECT_EQ(std::string::npos,
-                  received.find(platform_instance::eventText(eventsBeforeReset + 1)));
+        const std::string nextEvent = platform_instance::eventText(eventsBeforeReset + 1);
+        EXPECT_EQ(GetParam().hasEvents, received.find(nextEvent) != std::string::npos);
     }
     EXPECT_EQ(1, streams);
 }
@@ -516,5 +654,43 @@
 
 INSTANTIATE_TEST_SUITE_P(lines, broken_instance_fixture, ::testing::ValuesIn(malformedHeadForms()));
 
+/// Responses without a length to long requests, of which part is sent before the request has been
+/// read.
+std::vector<broken_form> earlyEndForms()
+{
+    std::vector<broken_form> forms;
+    for (const std::size_t bytes : {1'000'000U, 4'000'000U}) {
+        for (const bool isReset : {false, true}) {
+            broken_form form;
+            form.name = std::to_string(bytes) + (isReset ? " reset" : " closed");
+            form.faults.earlyResponse = true;
+            form.faults.omitContentLength = true;
+            form.faults.resetAtEnd = isReset;
+            form.requestBytes = bytes;
+            form.hasEvents = true;
+            forms.push_back(form);
+        }
+    }
+    return forms;
+}
+
+INSTANTIATE_TEST_SUITE_P(early_ends, broken_instance_fixture, ::testing::ValuesIn(earlyEndForms()));
+
+class early_refusal_fixture : public broken_instance_fixture
+{ };
+
+TEST_P(early_refusal_fixture, at_most_once_request_is_served_by_another_instance)
+{
+    instance_faults refusing = GetParam().faults;
+    refusing.rejectUnexecuted = true;
+    onLoop([&] { m_standins[0]->setFaults(refusing); });
+    for (const std::string id : {"r0", "r1", "r2", "r3"}) {
+        EXPECT_EQ(200U, post("/once/x", id).result_int());
+        EXPECT_EQ(1, executionsOf(id));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(early_ends, early_refusal_fixture, ::testing::ValuesIn(earlyEndForms()));
+
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -491,6 +491,17 @@
                         ++m_received[std::string(request["X-Request-Id"])];
                         connection->write(m_response);
                         connection->close();
+                    },
+                    [this](const http1_request_head &request,
+                           const std::shared_ptr<standins::raw_connection> &connection) {
+                        if (!m_endsEarly)
+                            return false;
+                        ++m_received[std::string(request["X-Request-Id"])];
+                        connection->write(m_response);
+                        connection->closeForSending();
+                        connection->runAfter(milliseconds(200),
+                                             [connection] { connection->reset(); });
+                        return true;
                     }));
                 const std::string name = "other-" + std::to_string(i);
                 names.insert(name);
@@ -506,7 +517,7 @@
         respondWith("200 OK", "", "");
         cut(0, relay_cut::reset);
         for (int i = 0; i < 20; ++i)
-            send("GET", "/safe/x", "early " + std::to_string(i));
+            send("POST", "/safe/x", "early " + std::to_string(i));
     }
     ~broken_host_fixture() override
     {
@@ -518,15 +529,17 @@
 
     /// Lets the other hosts respond with \a status, \a lines and \a body, as if they had served
     /// the request.
-    void respondWith(const std::string &status, const std::string &lines, const std::string &body)
+    void respondWith(const std::string &status, const std::string &lines, const std::string &body,
+                     bool hasLength = true)
     {
         http1_response_head result;
         encodeHandoverResult({1, std::nullopt, ""}, result);
         const std::string fields = serializeHead(result);
         onLoop([&] {
-            m_response = "HTTP/1.1 " + status + "\r\nX-Response-Seal: s\r\n" + lines
-                + "Content-Length: " + std::to_string(body.size())
-                + fields.substr(fields.find("\r\n")) + body;
+            m_response = "HTTP/1.1 " + status + "\r\nX-Response-Seal: s\r\n" + lines;
+            if (hasLength)
+                m_response += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+            m_response += fields.substr(fields.find("\r\n") + 2) + body;
         });
     }
 
@@ -535,19 +548,21 @@
     {
         EXPECT_EQ(502U, send("POST", "/once/x", "once " + name).result_int()) << name;
         EXPECT_EQ(1, onLoop([&] { return m_received["once " + name]; })) << name;
-        EXPECT_EQ(502U, send("GET", "/safe/x", "safe " + name).result_int()) << name;
+        EXPECT_EQ(502U, send("POST", "/safe/x", "safe " + name).result_int()) << name;
         EXPECT_EQ(502U, send("POST", "/closed/x", "closed " + name).result_int()) << name;
     }
 
     http1_response send(const std::string &method, const std::string &path, const std::string &id)
     {
         raw_http_client client(onLoop([&] { return m_hosts[0]->clientAddress(); }));
-        client.send(requestText(method, path, id, "X-Model: m\r\n", method == "GET" ? "" : "{}"));
+        client.send(requestText(method, path, id, "X-Model: m\r\n", m_requestBody));
         return client.read();
     }
 
     std::vector<std::unique_ptr<standins::raw_server>> m_others;
     std::string m_response;
+    bool m_endsEarly = false; ///< The response ends before the request has been read.
+    std::string m_requestBody = "{}";
     std::map<std::string, int> m_received; ///< Requests, by id.
 };
 
@@ -574,5 +589,14 @@
     }
 }
 
+TEST_F(broken_host_fixture, response_that_ends_before_the_request_has_been_sent_is_not_delivered)
+{
+    respondWith("200 OK", "", "part", false);
+    EXPECT_EQ("part", send("POST", "/once/x", "short").body());
+    m_requestBody = std::string(2'000'000, 'u');
+    onLoop([&] { m_endsEarly = true; });
+    expectNotDelivered("long");
+}
+
 } // namespace
 } // namespace goldcrestdeck
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -49,6 +49,12 @@
           io, address,
           [this](const http1_request &request, const std::shared_ptr<raw_connection> &connection) {
               handle(request, connection);
+          },
+          [this](const goldcrestdeck::http1_request_head &head,
+                 const std::shared_ptr<raw_connection> &connection) {
+              if (m_faults.earlyResponse)
+                  handle(http1_request(head), connection);
+              return m_faults.earlyResponse;
           })
 { }
 
@@ -83,6 +89,10 @@
     }
     if (m_refusedOn == connection.get())
         connection->write(m_refusal);
+    if (faults.rejectUnexecuted && faults.omitContentLength) {
+        sendUnframed(connection, responseHead("503", id, "X-Not-Executed: 1\r\n"), "full", faults);
+        return;
+    }
     if (faults.rejectUnexecuted) {
         connection->write(
             responseWithLength("503", id, stateFields(faults) + "X-Not-Executed: 1\r\n", ""));
@@ -184,12 +194,7 @@
         return;
     }
     if (faults.omitContentLength) {
-        connection->write(responseHead(status, id, fields) + "\r\n" + body);
-        if (faults.resetAtEnd)
-            connection->runAfter(std::chrono::milliseconds(20),
-                                 [connection] { connection->reset(); });
-        else
-            connection->close();
+        sendUnframed(connection, responseHead(status, id, fields), body, faults);
         return;
     }
     fields += "Content-Type: text/plain\r\n";
@@ -204,6 +209,30 @@
         connection->write(response);
 }
 
+void platform_instance::sendUnframed(const std::shared_ptr<raw_connection> &connection,
+                                     const std::string &head, const std::string &body,
+                                     const instance_faults &faults)
+{
+    const std::size_t bodyBytes = faults.earlyResponse ? body.size() / 2 : body.size();
+    connection->write(head + "\r\n" + body.substr(0, bodyBytes));
+    endUnframed(connection, faults);
+}
+
+void platform_instance::endUnframed(const std::shared_ptr<raw_connection> &connection,
+                                    const instance_faults &faults)
+{
+    const auto reset = [connection] { connection->reset(); };
+    if (faults.resetAtEnd) {
+        connection->runAfter(std::chrono::milliseconds(20), reset);
+    } else if (faults.earlyResponse) {
+        connection->closeForSending();
+        // Also keeps the connection open until then.
+        connection->runAfter(std::chrono::milliseconds(200), reset);
+    } else {
+        connection->close();
+    }
+}
+
 void platform_instance::sendEndlessly(const std::shared_ptr<raw_connection> &connection,
                                       const std::string &piece, std::size_t bytesLeft)
 {
@@ -231,7 +260,7 @@
     };
     const auto end = [&] {
         if (faults.omitContentLength)
-            connection->close();
+            endUnframed(connection, faults);
         else
             connection->write(goldcrestdeck::lastChunk);
     };
@@ -248,7 +277,8 @@
     }
     if (faults.stallAfterEvents >= 0 && number > faults.stallAfterEvents)
         return;
-    if (number > faults.events) {
+    const bool isCut = faults.earlyResponse && faults.omitContentLength;
+    if (number > (isCut ? faults.events / 2 : faults.events)) {
         end();
         return;
     }
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -56,12 +56,14 @@
     /// Crashes when it has executed a request with this text in its path or body, without a byte
     /// of a response.
     std::string crashText;
-    std::string rateLimit;      ///< Named as Server-Limit in each response; empty: none.
-    std::string brittle;        ///< Named as Server-Brittle in each response; empty: none.
-    std::string coldLeft;       ///< Named as X-Cold-Ms in each response; empty: none.
-    bool leaving = false;       ///< Each response says that the instance leaves.
-    bool garbage = false;       ///< Sends bytes that are not HTTP.
-    bool earlyResponse = false; ///< Responds before the body is read; for long bodies.
+    std::string rateLimit; ///< Named as Server-Limit in each response; empty: none.
+    std::string brittle;   ///< Named as Server-Brittle in each response; empty: none.
+    std::string coldLeft;  ///< Named as X-Cold-Ms in each response; empty: none.
+    bool leaving = false;  ///< Each response says that the instance leaves.
+    bool garbage = false;  ///< Sends bytes that are not HTTP.
+    /// Responds before the body has been read, which is left unread. With omitContentLength: sends
+    /// part of the response and ends it in order, or with resetAtEnd.
+    bool earlyResponse = false;
 };
 
 class platform_instance
@@ -105,6 +107,12 @@
     /// sent.
     void sendEndlessly(const std::shared_ptr<raw_connection> &connection, const std::string &piece,
                        std::size_t bytesLeft);
+    /// Sends a response whose body ends with the connection.
+    static void sendUnframed(const std::shared_ptr<raw_connection> &connection,
+                             const std::string &head, const std::string &body,
+                             const instance_faults &faults);
+    static void endUnframed(const std::shared_ptr<raw_connection> &connection,
+                            const instance_faults &faults);
     void streamFrom(const std::shared_ptr<raw_connection> &connection,
                     const instance_faults &faults, int number);
 
--- a/standins/raw_server.cc
+++ b/standins/raw_server.cc
@@ -1,6 +1,7 @@
 #include "standins/raw_server.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -21,9 +22,11 @@
 
 } // namespace
 
-raw_connection::raw_connection(asio::ip::tcp::socket socket, handler handle)
+raw_connection::raw_connection(asio::ip::tcp::socket socket, handler handle,
+                               head_handler handleHead)
     : m_socket(std::move(socket))
     , m_handle(std::move(handle))
+    , m_handleHead(std::move(handleHead))
 { }
 
 void raw_connection::start()
@@ -56,6 +59,13 @@
         writeNext();
 }
 
+void raw_connection::closeForSending()
+{
+    m_closingForSending = true;
+    if (m_writing.empty())
+        writeNext();
+}
+
 void raw_connection::reset()
 {
     m_open = false;
@@ -89,9 +99,17 @@
                 http::request_parser<http::string_body> parser;
                 parser.eager(true);
                 error_code parseError;
+                // The stand-in takes every body that a test sends.
+                parser.body_limit(std::numeric_limits<std::uint64_t>::max());
                 const std::size_t used = parser.put(asio::buffer(self->m_received), parseError);
+                if (self->m_handleHead && parser.is_header_done() && !self->m_headHandled) {
+                    self->m_headHandled = true;
+                    if (self->m_handleHead(parser.get().base(), self))
+                        return;
+                }
                 if (!parser.is_done())
                     break;
+                self->m_headHandled = false;
                 self->m_received.erase(0, used);
                 self->m_handle(parser.release(), self);
             }
@@ -109,6 +127,9 @@
             m_open = false;
             error_code ignored;
             m_socket.close(ignored);
+        } else if (m_closingForSending) {
+            error_code ignored;
+            m_socket.shutdown(asio::socket_base::shutdown_send, ignored);
         }
         return;
     }
@@ -125,9 +146,10 @@
 }
 
 raw_server::raw_server(asio::io_context &io, const asio::ip::tcp::endpoint &address,
-                       raw_connection::handler handle)
+                       raw_connection::handler handle, raw_connection::head_handler handleHead)
     : m_acceptor(io, address)
     , m_handle(std::move(handle))
+    , m_handleHead(std::move(handleHead))
 {
     accept();
 }
@@ -154,7 +176,8 @@
         if (error)
             return;
         ++*acceptedConnections;
-        const auto accepted = std::make_shared<raw_connection>(std::move(socket), m_handle);
+        const auto accepted
+            = std::make_shared<raw_connection>(std::move(socket), m_handle, m_handleHead);
         m_connections.push_back(accepted);
         accepted->start();
         accept();
