--- a/goldcrestdeck/async_client.h
+++ b/goldcrestdeck/async_client.h
@@ -27,8 +27,10 @@
 namespace goldcrestdeck {
 
 enum class call_failure {
-    notSent,   ///< No byte of the request was written, so the server cannot have executed it.
-    broken,    ///< The connection was lost after bytes of the request may have been written.
+    notSent, ///< No byte of the request was written, so the server cannot have executed it.
+    /// The connection was lost after bytes of the request may have been written, or ended a
+    /// response without a length before the server had received the whole request.
+    broken,
     malformed, ///< The server sent bytes that are not a valid HTTP response, or too many of them.
     timeout    ///< The response was not complete before the deadline, or it stalled.
 };
--- a/goldcrestdeck/http_client.cc
+++ b/goldcrestdeck/http_client.cc
@@ -72,7 +72,8 @@
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
         return false;
-    default: // Also CURLE_UNSUPPORTED_PROTOCOL: libcurl reports it for a response that is not HTTP.
+    default:
+        // Also CURLE_UNSUPPORTED_PROTOCOL, which libcurl reports for a response that is not HTTP.
         return true;
     }
 }
@@ -228,7 +229,7 @@
     {
         curl_off_t uploaded = 0;
         curl_easy_getinfo(m_curl.easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-        return static_cast<std::size_t>(uploaded) == m_request.body.size()
+        return static_cast<std::size_t>(uploaded) >= m_request.body.size()
             && !m_curl.closed->hasUnacknowledged;
     }
 
@@ -242,8 +243,9 @@
     /// its line end. \returns false if the response is malformed.
     bool addHeadLine(const std::string &line)
     {
+        constexpr std::string_view protocol = "HTTP/";
         const std::string_view text = withoutLineEnd(line);
-        const bool isStatusLine = m_headBegins && text.substr(0, 5) == "HTTP/";
+        const bool isStatusLine = m_headBegins && text.substr(0, protocol.size()) == protocol;
         m_headBegins = text.empty();
         m_isMalformed
             = isStatusLine ? !isValidStatusLine(text) : !text.empty() && !isValidField(text);
--- a/goldcrestdeck/http_client.h
+++ b/goldcrestdeck/http_client.h
@@ -7,8 +7,9 @@
 ///
 /// http_client::send() returns a complete response; http_client::open() streams one. A stream is
 /// read on demand, so a slow reader applies back-pressure to the upstream and memory use stays
-/// bounded. An error says whether the request may have reached the server and so may have been
-/// executed.
+/// bounded. A response with an invalid status line or header field is an error, and so is one
+/// without a length that ends before the server has received the whole request. An error says
+/// whether the request may have reached the server and so may have been executed.
 
 #include <chrono>
 #include <memory>
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -3,7 +3,7 @@
 
 /// \file
 /// HTTP message types shared by the asynchronous server (async_server.h) and client
-/// (async_client.h), and the checks of raw bytes that Beast's parser does not make.
+/// (async_client.h), and the checks of raw bytes that Beast's parser and libcurl do not make.
 
 #include <string>
 #include <string_view>
--- a/goldcrestdeck/testing/broken_response_test.cc
+++ b/goldcrestdeck/testing/broken_response_test.cc
@@ -1,8 +1,9 @@
 // Responses that are broken in their status line, their header fields or their end, read by each
 // HTTP engine and by a forwarder.
 
+#include <atomic>
 #include <functional>
-#include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -114,6 +115,7 @@
                 m_respond(connection);
             },
             [this](const http1_request_head &, const std::shared_ptr<raw_connection> &connection) {
+                connection->write(m_beginsOnHead);
                 if (!m_respondToHead)
                     return false;
                 ++m_requests;
@@ -222,6 +224,7 @@
     system_clock m_clock;
     std::function<void(const std::shared_ptr<raw_connection> &)> m_respond;
     bool m_respondToHead = false; ///< Responds before the body has been read, which is left unread.
+    std::string m_beginsOnHead;   ///< Sent before the body has been read.
     std::atomic<int> m_requests{0};
     boost::asio::io_context m_io{1};
     raw_server m_server;
@@ -359,11 +362,11 @@
     /// Held by the client's socket when the response ends, but more than the server's takes.
     static constexpr std::size_t longUpload = 2'000'000;
 
-    void respondEarly(std::size_t bodyBytes, ending how)
+    void respondEarly(std::size_t bodyBytes, ending how, const std::string &status = "200 OK")
     {
         m_respondToHead = true;
         const std::string bytes
-            = "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\n" + std::string(bodyBytes, 'x');
+            = "HTTP/1.1 " + status + "\r\nX-First: 1\r\n\r\n" + std::string(bodyBytes, 'x');
         m_respond = [bytes, how](const std::shared_ptr<raw_connection> &connection) {
             connection->write(bytes);
             const auto end = [connection, how] {
@@ -388,7 +391,7 @@
     void expectFailures(ending how)
     {
         for (const std::size_t upload : {endlessUpload, longUpload}) {
-            for (const std::size_t bodyBytes : {1U, 1000U, 100'000U}) {
+            for (const std::size_t bodyBytes : {0U, 1U, 1000U, 100'000U}) {
                 respondEarly(bodyBytes, how);
                 for (const http_engine engine : engines) {
                     m_requests = 0;
@@ -434,6 +437,39 @@
     }
 }
 
+TEST_F(unframed_response_fixture, error_whose_end_arrives_before_the_request_has_been_sent_fails)
+{
+    for (const char *status : {"404 Not Found", "413 Too Large", "500 Error"}) {
+        respondEarly(1000, ending::closeForSending, status);
+        for (const http_engine engine : engines)
+            EXPECT_EQ(maybeSent, call(engine, std::string(longUpload, 'u')).substr(0, 40))
+                << toString(engine) << ' ' << status;
+    }
+}
+
+TEST_F(unframed_response_fixture, response_without_a_body_is_received_before_the_request_was_sent)
+{
+    m_respondToHead = true;
+    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
+        connection->write("HTTP/1.1 204 No Content\r\n\r\n");
+        connection->closeForSending();
+        connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
+    };
+    for (const http_engine engine : engines)
+        EXPECT_EQ("204 ", call(engine, std::string(longUpload, 'u'))) << toString(engine);
+}
+
+TEST_F(unframed_response_fixture, response_that_begins_early_and_ends_after_the_request_is_received)
+{
+    m_beginsOnHead = "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nbegin,";
+    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
+        connection->write("end");
+        connection->close();
+    };
+    for (const http_engine engine : engines)
+        EXPECT_EQ("200 begin,end", call(engine, std::string(longUpload, 'u'))) << toString(engine);
+}
+
 TEST_F(unframed_response_fixture, response_to_a_request_that_has_been_sent_is_received)
 {
     respondEarly(1000, ending::closeForSending);
