--- a/goldcrestdeck/testing/broken_response_test.cc
+++ b/goldcrestdeck/testing/broken_response_test.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -115,8 +116,8 @@
                 m_respond(connection);
             },
             [this](const http1_request_head &, const std::shared_ptr<raw_connection> &connection) {
-                connection->write(m_beginsOnHead);
-                if (!m_respondToHead)
+                connection->write(m_beginning);
+                if (!m_respondsToHead)
                     return false;
                 ++m_requests;
                 m_respond(connection);
@@ -189,22 +190,37 @@
         }
     }
 
+    /// Sets how the server responds to each request: after reading it, or with \a toHead after its
+    /// head, which leaves the rest unread. \a beginning is sent before the body has been read.
+    void setResponse(std::function<void(const std::shared_ptr<raw_connection> &)> respond,
+                     bool toHead = false, const std::string &beginning = "")
+    {
+        std::packaged_task<void()> task([&] {
+            m_respond = std::move(respond);
+            m_respondsToHead = toHead;
+            m_beginning = beginning;
+        });
+        // A handler may still be running when its response has arrived.
+        boost::asio::post(m_io, [&task] { task(); });
+        task.get_future().get();
+    }
+
     /// Responds to every request with \a bytes, then closes the connection.
     void respondWith(const std::string &bytes)
     {
-        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+        setResponse([bytes](const std::shared_ptr<raw_connection> &connection) {
             connection->write(bytes);
             connection->close();
-        };
+        });
     }
 
     /// Responds to every request with \a bytes, some of them at a time.
     void respondInPieces(const std::string &bytes)
     {
         constexpr std::size_t bytesPerSecond = 700;
-        m_respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+        setResponse([bytes](const std::shared_ptr<raw_connection> &connection) {
             connection->writePaced(bytes, bytesPerSecond);
-        };
+        });
     }
 
     /// Expects that a response of \a bytes fails in each engine and that the request, which the
@@ -222,11 +238,12 @@
     static constexpr long callTimeoutMs = 5000;
 
     system_clock m_clock;
-    std::function<void(const std::shared_ptr<raw_connection> &)> m_respond;
-    bool m_respondToHead = false; ///< Responds before the body has been read, which is left unread.
-    std::string m_beginsOnHead;   ///< Sent before the body has been read.
     std::atomic<int> m_requests{0};
     boost::asio::io_context m_io{1};
+    // Used on the server's thread, once it runs.
+    std::function<void(const std::shared_ptr<raw_connection> &)> m_respond;
+    bool m_respondsToHead = false;
+    std::string m_beginning;
     raw_server m_server;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
     std::thread m_thread;
@@ -364,10 +381,16 @@
 
     void respondEarly(std::size_t bodyBytes, ending how, const std::string &status = "200 OK")
     {
-        m_respondToHead = true;
+        setResponse(responseThatEnds(bodyBytes, how, status), true);
+    }
+
+    /// \returns a function that sends a response without a length and ends it as \a how says.
+    static std::function<void(const std::shared_ptr<raw_connection> &)>
+    responseThatEnds(std::size_t bodyBytes, ending how, const std::string &status = "200 OK")
+    {
         const std::string bytes
             = "HTTP/1.1 " + status + "\r\nX-First: 1\r\n\r\n" + std::string(bodyBytes, 'x');
-        m_respond = [bytes, how](const std::shared_ptr<raw_connection> &connection) {
+        return [bytes, how](const std::shared_ptr<raw_connection> &connection) {
             connection->write(bytes);
             const auto end = [connection, how] {
                 switch (how) {
@@ -378,8 +401,7 @@
                     connection->close();
                     break;
                 case ending::closeForSending:
-                    connection->closeForSending();
-                    connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
+                    closeForSendingThenReset(connection);
                     break;
                 }
             };
@@ -388,6 +410,22 @@
         };
     }
 
+    /// Responds to the head of each request with \a bytes and ends the response.
+    void endBeforeReading(const std::string &bytes)
+    {
+        const auto respond = [bytes](const std::shared_ptr<raw_connection> &connection) {
+            connection->write(bytes);
+            closeForSendingThenReset(connection);
+        };
+        setResponse(respond, true);
+    }
+
+    static void closeForSendingThenReset(const std::shared_ptr<raw_connection> &connection)
+    {
+        connection->closeForSending();
+        connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
+    }
+
     void expectFailures(ending how)
     {
         for (const std::size_t upload : {endlessUpload, longUpload}) {
@@ -422,15 +460,15 @@
 
 TEST_F(unframed_response_fixture, response_that_ends_at_once_after_its_body_fails)
 {
-    m_respondToHead = true;
     for (const bool isReset : {true, false}) {
-        m_respond = [isReset](const std::shared_ptr<raw_connection> &connection) {
+        const auto respond = [isReset](const std::shared_ptr<raw_connection> &connection) {
             connection->write("HTTP/1.1 200 OK\r\n\r\npart");
             if (isReset)
                 connection->reset();
             else
                 connection->close();
         };
+        setResponse(respond, true);
         for (const http_engine engine : engines)
             EXPECT_EQ(maybeSent, call(engine, std::string(endlessUpload, 'u')).substr(0, 40))
                 << toString(engine) << (isReset ? " reset" : " close");
@@ -449,23 +487,18 @@
 
 TEST_F(unframed_response_fixture, response_without_a_body_is_received_before_the_request_was_sent)
 {
-    m_respondToHead = true;
-    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
-        connection->write("HTTP/1.1 204 No Content\r\n\r\n");
-        connection->closeForSending();
-        connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
-    };
+    endBeforeReading("HTTP/1.1 204 No Content\r\n\r\n");
     for (const http_engine engine : engines)
         EXPECT_EQ("204 ", call(engine, std::string(longUpload, 'u'))) << toString(engine);
 }
 
 TEST_F(unframed_response_fixture, response_that_begins_early_and_ends_after_the_request_is_received)
 {
-    m_beginsOnHead = "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nbegin,";
-    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
+    const auto respond = [](const std::shared_ptr<raw_connection> &connection) {
         connection->write("end");
         connection->close();
     };
+    setResponse(respond, false, "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\nbegin,");
     for (const http_engine engine : engines)
         EXPECT_EQ("200 begin,end", call(engine, std::string(longUpload, 'u'))) << toString(engine);
 }
@@ -480,8 +513,7 @@
 
 TEST_F(unframed_response_fixture, response_to_a_long_request_that_has_been_read_is_received)
 {
-    respondEarly(1000, ending::close);
-    m_respondToHead = false;
+    setResponse(responseThatEnds(1000, ending::close));
     for (const http_engine engine : engines)
         EXPECT_EQ("200 " + std::string(1000, 'x'), call(engine, std::string(longUpload, 'u')))
             << toString(engine);
@@ -490,12 +522,7 @@
 TEST_F(unframed_response_fixture,
        response_with_a_length_is_received_before_the_request_has_been_sent)
 {
-    m_respondToHead = true;
-    m_respond = [](const std::shared_ptr<raw_connection> &connection) {
-        connection->write("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nok");
-        connection->closeForSending();
-        connection->runAfter(milliseconds(200), [connection] { connection->reset(); });
-    };
+    endBeforeReading("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nok");
     for (const http_engine engine : engines)
         EXPECT_EQ("413 ok", call(engine, std::string(endlessUpload, 'u'))) << toString(engine);
 }
