send_ended: log the response's status and what it says of the execution

Change: send_ended has the status of the head that arrived, and whether the response states that the request has not been executed.

--- a/goldcrestdeck/active_request_send.cc
+++ b/goldcrestdeck/active_request_send.cc
@@ -434,6 +434,7 @@
             reportOutcome(true, false);
     }
     m_slowTimer.cancel();
+    const bool hasHead = m_mode != response_mode::none;
     if (result != send_result::answered)
         logEvent(
             log_level::info, "send_ended",
@@ -442,6 +443,8 @@
              {"version", m_chosen.target.version},
              {"outcome", outcome},
              {"response_begun", m_responseBegun ? "yes" : "no"},
+             {"status", hasHead ? std::to_string(m_head.result_int()) : ""},
+             {"not_executed", hasHead && m_metadata.notExecuted ? "yes" : "no"},
              {"shared_segments", sharedSegmentIds()},
              {"request_digest", requestDigest()},
              {"framing", framing()},
