A request whose response has begun may have run

What callers saw: a stream that was given up for a larger model, before its client had any of it, and that no instance of the larger model then accepted, was refused with 503, Retry-After and "run":"no". The smaller model had begun to respond. The same state, "not run", was kept after a response with an error that was to be retried, so that another host's refusal could reach the client as a promise.

Cause: m_mayHaveRun was set where a send failed or timed out, not where a response began.

Change: a response head that does not state that the request has not been executed sets it. What follows is refused with 502, or with the error kept as a fallback.

The fallback beside another host's refusal was found by reading; no test of its own.

--- a/goldcrestdeck/active_request.h
+++ b/goldcrestdeck/active_request.h
@@ -359,7 +359,7 @@
     bool m_intervalRecorded = false; ///< Of the current send.
     time_point m_firstEventAt;       ///< Of the current send.
     time_point m_lastEventAt;        ///< Of the current send.
-    bool m_mayHaveRun = false;
+    bool m_mayHaveRun = false;       ///< An instance may have begun to run the request.
     bool m_streaming = false;        ///< The response head has been sent to the client.
     bool m_allEventsNumbered = true; ///< Every event so far had an id, as resuming requires.
     response_mode m_mode = response_mode::none;
--- a/goldcrestdeck/active_request_response.cc
+++ b/goldcrestdeck/active_request_response.cc
@@ -123,6 +123,7 @@
 void forwarder::active_request::handleResponseBegun()
 {
     m_responseBegun = true;
+    m_mayHaveRun = true;
     recordResponseBytes();
     const duration latency = now() - m_sentAt;
     m_firstByteLatency = latency;
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -808,6 +808,31 @@
     EXPECT_TRUE(isUpgraded);
 }
 
+// The smaller model has begun to respond: a client that is told "not run" would be misled.
+TEST_F(forwarder_fixture, request_given_up_for_a_larger_model_that_is_full_is_refused_as_maybe_run)
+{
+    instance_faults unsure;
+    unsure.events = 5;
+    unsure.confidence = 10;
+    unsure.rejectedModel = "large";
+    setFaults(unsure);
+    int refused = 0;
+    // The retry budget is proportional to the requests forwarded, so the first few may not be
+    // upgraded.
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const http1_response response = sendRequest(streamRequest(id));
+        EXPECT_EQ(1, executionsOf(id)) << id;
+        if (response.result_int() == 200U)
+            continue;
+        ++refused;
+        EXPECT_EQ(502U, response.result_int()) << id;
+        EXPECT_EQ("", response["Retry-After"]) << id;
+        EXPECT_NE(std::string::npos, response.body().find(R"("run":"unknown")")) << id;
+    }
+    EXPECT_LT(0, refused);
+}
+
 /// Both instances of "engine" accept so few requests that nothing can be sent a second time.
 class limited_instances_fixture : public forwarder_fixture
 {
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -93,7 +93,9 @@
         sendUnframed(connection, responseHead("503", id, "X-Not-Executed: 1\r\n"), "full", faults);
         return;
     }
-    if (faults.rejectUnexecuted) {
+    const bool rejectsModel
+        = !faults.rejectedModel.empty() && request["X-Model"] == faults.rejectedModel;
+    if (faults.rejectUnexecuted || rejectsModel) {
         connection->write(
             responseWithLength("503", id, stateFields(faults) + "X-Not-Executed: 1\r\n", ""));
         return;
--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -21,6 +21,7 @@
     std::string statusText;        ///< Sent in place of the status, as it is; empty: none.
     std::string headLine;          ///< Added to the head, as it is, with its line end; empty: none.
     bool rejectUnexecuted = false; ///< Rejects the request without executing it.
+    std::string rejectedModel;     ///< Requests for it are rejected unexecuted; empty: none.
     bool wrongInstance = false;    ///< Responds with 421, as if another instance were addressed.
     int confidence = -1;           ///< Sent for the model "small"; 100 for others; negative: none.
     int events = 0;                ///< Length of the event stream; 0: no stream.
