An instance's refusal status without a statement promises nothing

The same held for 408 and 429, for streams, for a 503 kept as a fallback while other instances rejected the request, and for what another host passed on; a repeatable request got a 408 or 429 at once, though another instance could serve it.

Cause: 408, 421, 429 and 503 towards a client are statements of this host, but the end of a buffered response, the fallback and the response of another host copied them from the instance, whose own statement is X-Not-Executed or 421.

Change: such a status without a statement (promisesNotRun()) never reaches a client. A repeatable request is sent to another instance; otherwise the request ends with 502 unconfirmed_refusal, or with an earlier send's error that promises nothing, without the instance's seal, body or Retry-After. The instance is judged as before. A host's response is held to the same: it promises only if the host states that it refused and counts no attempt, which also covers older builds that pass the status on, or refuse after an attempt; the fields between hosts are unchanged since. A true refusal stays 503 with Retry-After.

Ruled out: turning every 503 of an instance into a 502 at the decoder, which would also hide the instances' true refusals; a check in the server, which does not know what the instance stated.

--- a/goldcrestdeck/active_request.h
+++ b/goldcrestdeck/active_request.h
@@ -33,6 +33,9 @@
 
 /// Retry-After when no instance accepted the request; jittered by up to 50% either way.
 constexpr std::chrono::milliseconds busyRetryAfter{600};
+/// Code of the refusal in place of a response whose status promises that the request has not run,
+/// from an upstream that does not state so.
+constexpr const char *unconfirmedRefusalCode = "unconfirmed_refusal";
 /// Fraction of the upstream's keep-alive timeout for which an idle connection is reused. Smaller
 /// for at-most-once requests, which cannot be retried if the upstream closes the connection
 /// meanwhile.
@@ -237,6 +240,10 @@
 
     void onStreamEnd();
 
+    /// Records a response whose status promises that the request has not run, from an instance or
+    /// a host that does not state so. The client must not get that status.
+    void recordUnconfirmedRefusal();
+
     /// Takes the response that has been buffered.
     http1_response bufferedResponse();
 
--- a/goldcrestdeck/active_request_handover.cc
+++ b/goldcrestdeck/active_request_handover.cc
@@ -135,7 +135,9 @@
         return;
     }
     const handover_result result = *m_handoverResult;
-    const bool notRun = result.refusedRun == execution_state::no;
+    // Some builds state that a request has not run although an instance has begun to respond to it.
+    // The count of attempts includes that instance.
+    const bool notRun = result.refusedRun == execution_state::no && result.attempts == 0;
     if (notRun && mayOtherHostServe(result.refusalCode)) {
         endHostSend(result.refusalCode == pathLostCode ? handover_end::pathLost
                                                        : handover_end::refused,
@@ -154,6 +156,13 @@
         finishFailed(result.refusalCode);
         return;
     }
+    if (promisesNotRun(m_head.result_int()) && !notRun) {
+        // Some builds pass on an instance's status as it is.
+        m_mayHaveRun = true;
+        recordUnconfirmedRefusal();
+        finishFailed(result.refusedRun ? result.refusalCode : unconfirmedRefusalCode);
+        return;
+    }
     if (!result.refusedRun && m_head.result_int() / 100 == 2 && !m_metadata.isComplete) {
         m_mayHaveRun = true;
         finishFailed(toString(call_failure::malformed));
--- a/goldcrestdeck/active_request_response.cc
+++ b/goldcrestdeck/active_request_response.cc
@@ -313,19 +313,28 @@
     if (!m_bodyBegun)
         recordAnswer();
     const bool failure = m_head.result_int() >= 500;
+    const bool unconfirmedRefusal = promisesNotRun(m_head.result_int());
     endSend(failure ? send_result::failed : send_result::answered, failure ? "failed" : "answered");
+    if (unconfirmedRefusal)
+        recordUnconfirmedRefusal();
     if (m_streaming) {
         // The attempt to resume the stream got a response that is not an event stream.
         abortStream("resume_failed");
         return;
     }
-    if (failure && mayRetry()) {
+    if ((failure || unconfirmedRefusal) && mayRetry()) {
         m_retryReason = "failed";
-        m_fallbackResponse = bufferedResponse();
-        m_fallbackBytes = std::move(m_heldBytes);
+        if (!unconfirmedRefusal) {
+            m_fallbackResponse = bufferedResponse();
+            m_fallbackBytes = std::move(m_heldBytes);
+        }
         send();
         return;
     }
+    if (unconfirmedRefusal) {
+        finishFailed(unconfirmedRefusalCode);
+        return;
+    }
     deliver(bufferedResponse(), failure ? "upstream_failure" : "served");
 }
 
@@ -346,6 +355,17 @@
     finish(m_head.result_int(), "served");
 }
 
+void forwarder::active_request::recordUnconfirmedRefusal()
+{
+    const unsigned status = m_head.result_int();
+    m_dependencies.metrics.unconfirmedRefusals(status).Increment();
+    logEvent(log_level::warning, "refusal_unconfirmed",
+             {{"request", m_request.id},
+              {"sender", m_receiver},
+              {"status", std::to_string(status)},
+              {"send", std::to_string(m_sends)}});
+}
+
 http1_response forwarder::active_request::bufferedResponse()
 {
     http1_response response;
--- a/goldcrestdeck/http_message.cc
+++ b/goldcrestdeck/http_message.cc
@@ -130,6 +130,19 @@
         && status.front() <= '5' && status != switchingProtocols && !hasControlCharacter(line);
 }
 
+bool promisesNotRun(unsigned status)
+{
+    switch (static_cast<http::status>(status)) {
+    case http::status::request_timeout:
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+    case http::status::service_unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool isValidField(std::string_view line)
 {
     const std::size_t colon = line.find(':');
--- a/goldcrestdeck/http_message.h
+++ b/goldcrestdeck/http_message.h
@@ -46,6 +46,11 @@
 /// directly followed by a colon, and no control characters. A folded line is none.
 bool isValidField(std::string_view line);
 
+/// Returns whether \a status tells a client that its request has not run and never will: 408, 421,
+/// 429 and 503. Clients repeat at-most-once requests after them. An upstream may send such a status
+/// for other reasons, so its status alone is no evidence that it has not run the request.
+bool promisesNotRun(unsigned status);
+
 /// Removes the hop-by-hop fields, including those listed in the Connection field.
 void removeHopByHopFields(http_fields &fields);
 
--- a/goldcrestdeck/router_metrics.cc
+++ b/goldcrestdeck/router_metrics.cc
@@ -34,6 +34,9 @@
                                  "Upstream event streams that ended in order, by framing."))
     , m_retries(
           counterFamily(*m_registry, "router_repeats_total", "Requests sent once more, by reason."))
+    , m_unconfirmedRefusals(
+          counterFamily(*m_registry, "router_unconfirmed_refusals_total",
+                        "Upstream refusals, by status, that do not state that nothing has run."))
     , m_storeContacts(counterFamily(*m_registry, "router_store_contacts_total",
                                     "Calls to the key-value service that confirmed the view."))
     , m_entryCopies(counterFamily(*m_registry, "router_copies_total",
@@ -109,6 +112,11 @@
     return m_retries.Add({{"reason", reason}});
 }
 
+prometheus::Counter &router_metrics::unconfirmedRefusals(unsigned status)
+{
+    return m_unconfirmedRefusals.Add({{"status", std::to_string(status)}});
+}
+
 prometheus::Counter &router_metrics::storeContacts(const std::string &outcome)
 {
     return m_storeContacts.Add({{"outcome", outcome}});
--- a/goldcrestdeck/router_metrics.h
+++ b/goldcrestdeck/router_metrics.h
@@ -31,6 +31,9 @@
                                    const std::string &outcome);
     prometheus::Counter &sends(const std::string &result);
     prometheus::Counter &retries(const std::string &reason);
+    /// Responses of instances and other hosts whose status promises that the request has not run,
+    /// without a statement that this is so.
+    prometheus::Counter &unconfirmedRefusals(unsigned status);
     prometheus::Counter &storeContacts(const std::string &outcome);
     /// Copies of all entries that were passed between hosts; \a event is "taken" or "served".
     prometheus::Counter &entryCopies(const std::string &event);
@@ -50,6 +53,7 @@
     prometheus::Family<prometheus::Counter> &m_sends;
     prometheus::Family<prometheus::Counter> &m_streamEnds;
     prometheus::Family<prometheus::Counter> &m_retries;
+    prometheus::Family<prometheus::Counter> &m_unconfirmedRefusals;
     prometheus::Family<prometheus::Counter> &m_storeContacts;
     prometheus::Family<prometheus::Counter> &m_entryCopies;
     prometheus::Family<prometheus::Counter> &m_handovers;
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -433,6 +433,35 @@
     EXPECT_EQ(0, executionsOf("r1"));
 }
 
+// An instance that answers with a promise after it has run the request (review/7).
+TEST_F(handover_fixture, handed_over_request_with_an_unconfirmed_refusal_is_maybe_run)
+{
+    for (const unsigned status : {408U, 429U, 503U}) {
+        instance_faults refusing;
+        refusing.status = status;
+        setFaults(refusing);
+        const std::string id = "r" + std::to_string(status);
+        http1_request request(boost::beast::http::verb::post, "/once/x", 11);
+        handover_request handover;
+        handover.remainingTime = seconds(2);
+        handover.maxAttempts = 2;
+        encodeHandover(handover, request);
+        request.set("Host", "a.example");
+        request.set("X-Request-Id", id);
+        request.set("X-Credential", "key-1");
+        request.body() = "{}";
+        request.content_length(2);
+        raw_http_client client(onLoop([&] { return m_hosts[1]->handoverAddress(); }));
+        client.send(serializeRequest(request));
+        const http1_response response = client.read();
+        EXPECT_EQ(502U, response.result_int());
+        EXPECT_EQ("", response["X-Response-Seal"]);
+        EXPECT_EQ("1", response["Goldcrest-Attempts"]);
+        EXPECT_EQ("unknown", response["Goldcrest-Run"]);
+        EXPECT_EQ(1, executionsOf(id));
+    }
+}
+
 TEST_F(handover_fixture, at_most_once_request_runs_once_when_the_host_that_serves_it_breaks_off)
 {
     constexpr int requests = 12;
@@ -543,6 +572,19 @@
         });
     }
 
+    /// Lets the other hosts respond with \a status and \a result, as if they had refused the
+    /// request.
+    void refuseWith(const std::string &status, const handover_result &result)
+    {
+        http1_response_head head;
+        encodeHandoverResult(result, head);
+        const std::string fields = serializeHead(head);
+        onLoop([&] {
+            m_response = "HTTP/1.1 " + status + "\r\nRetry-After: 0.500\r\nContent-Length: 2\r\n"
+                + fields.substr(fields.find("\r\n") + 2) + "{}";
+        });
+    }
+
     /// Expects that the response is not delivered and that an at-most-once request is sent once.
     void expectNotDelivered(const std::string &name)
     {
@@ -589,6 +631,45 @@
     }
 }
 
+// Builds up to 0b1732d pass an instance's status on with its seal, and no reason of their own.
+TEST_F(broken_host_fixture, unconfirmed_refusal_passed_on_by_an_older_build_is_not_delivered)
+{
+    for (const std::string status : {"408", "429", "503"}) {
+        respondWith(status + " Status", "Retry-After: 1\r\n", "body");
+        expectNotDelivered(status);
+        const http1_response response = send("POST", "/once/x", "fields " + status);
+        EXPECT_EQ("", response["X-Response-Seal"]);
+        EXPECT_EQ("", response["Retry-After"]);
+    }
+}
+
+// Builds up to 0b1732d refuse a request as not run after it was given up for a larger model.
+TEST_F(broken_host_fixture, promise_of_an_older_build_after_an_attempt_is_not_delivered)
+{
+    refuseWith("503 Status", {1, execution_state::no, "all_busy"});
+    expectNotDelivered("attempted");
+}
+
+TEST_F(broken_host_fixture, promise_of_a_host_that_made_no_attempt_is_delivered)
+{
+    refuseWith("503 Status", {0, execution_state::no, "all_busy"});
+    for (const std::string path : {"/once/x", "/safe/x", "/closed/x"}) {
+        const http1_response response = send("POST", path, path);
+        EXPECT_EQ(503U, response.result_int());
+        EXPECT_EQ("0.500", response["Retry-After"]);
+    }
+}
+
+TEST_F(broken_host_fixture, errors_that_promise_nothing_are_delivered)
+{
+    for (const std::string status : {"500", "502", "504"}) {
+        respondWith(status + " Status", "", "body");
+        const http1_response response = send("POST", "/once/x", "once " + status);
+        EXPECT_EQ(status, std::to_string(response.result_int()));
+        EXPECT_EQ("s", response["X-Response-Seal"]);
+    }
+}
+
 TEST_F(broken_host_fixture, response_that_ends_before_the_request_has_been_sent_is_not_delivered)
 {
     respondWith("200 OK", "", "part", false);
