goldcrestd: only a statement of the upstream makes a refusal "not run"

What callers saw: a service ran an at-most-once call and answered 503 or 429. The call was refused with 503, "run":"no", its claim in the ledger was given back, and the next request with the same idempotency key ran it once more (2 runs in the test); with a further upstream the same request would have been sent to it. Idempotent requests that all upstreams answered so were recorded as not run. Other refusals of an engine (400 rejected_by_upstream) were recorded as not run without a word of the engine.

Cause: sender took the status 503 or 429 for a statement. No page of the interface lets it: docs/design.md gives a claim back only if certainly no byte has left.

Change: an upstream that refuses a request without running it states so with Goldcrest-Run: no, the field that hosts use between each other. Without it the attempt may have run: an at-most-once call ends with 502 outcome_unknown and keeps its claim, an idempotent one goes to another upstream and ends, if all fail, with 502 and "unknown" in place of 503. The stand-ins state it where they refuse without running (turn_away, leaving), and can answer with any status after a run (fail_status).

Evidence: process_fixture.operation_refused_after_it_has_run_* and idempotent_request_refused_after_* fail before and pass now; operation_rejected_by_the_upstream_is_not_run_and_can_be_retried and upstream_that_announces_leaving_* pass unchanged.

Left as it is: 408 and 421 of a service are passed on as its answer; in this interface the field "run", not the status, says whether a request has run.

--- a/goldcrestdeck/chat.cc
+++ b/goldcrestdeck/chat.cc
@@ -204,7 +204,7 @@
     }
     m_sender.recordOutcome(response, true);
     if (response.head.status != httpOk)
-        refuse(400, "rejected_by_upstream", body);
+        refuse(400, "rejected_by_upstream", body, sender::runStateOf(response.head));
     const duration firstByteTime = m_dependencies.host.time().now() - context.arrived();
     m_dependencies.counters.firstByteSeconds.Observe(
         std::chrono::duration<double>(firstByteTime).count());
@@ -257,7 +257,7 @@
             body = "the upstream rejected the request";
         }
         m_sender.recordOutcome(upstreamResponse, true);
-        refuse(400, "rejected_by_upstream", body);
+        refuse(400, "rejected_by_upstream", body, sender::runStateOf(upstreamResponse.head));
     }
     const duration firstByteTime = m_dependencies.host.time().now() - context->arrived();
     m_dependencies.counters.firstByteSeconds.Observe(
--- a/goldcrestdeck/sender.cc
+++ b/goldcrestdeck/sender.cc
@@ -1,7 +1,7 @@
 // An attempt has one of three results: answered, not run (no byte was sent, or the upstream
-// rejected the request), or may have run. An idempotent request may be retried on another upstream
-// after either failure, an at-most-once request only if it has not run. The final refusal reports
-// the run state "unknown" if any attempt may have run.
+// rejected the request and states that it has not run it), or may have run. An idempotent request
+// may be retried on another upstream after either failure, an at-most-once request only if it has
+// not run. The final refusal reports the run state "unknown" if any attempt may have run.
 
 #include "goldcrestdeck/sender.h"
 
@@ -15,7 +15,8 @@
 constexpr double retryBudgetRatio = 0.1;
 constexpr std::chrono::seconds upstreamRetryAfter{2};
 constexpr long httpTooManyRequests = 429;
-constexpr long httpServiceUnavailable = 503;
+constexpr int httpBadGateway = 502;
+constexpr int httpServiceUnavailable = 503;
 constexpr long minServerErrorStatus = 500;
 
 bool isDrainingResponse(const http_response &head)
@@ -23,9 +24,21 @@
     return head.status == httpServiceUnavailable && !head.header("X-Leaving").empty();
 }
 
-bool isRejected(const http_response &head)
+bool isFailure(const http_response &head)
 {
-    return head.status == httpServiceUnavailable || head.status == httpTooManyRequests;
+    return head.status >= minServerErrorStatus || head.status == httpTooManyRequests;
+}
+
+/// \a details for a request of which an earlier attempt may have run, as \a run tells.
+refusal afterAttempts(refusal details, execution_state run)
+{
+    details.run = run;
+    if (run == execution_state::no)
+        return details;
+    // Clients repeat requests after a 503 as if they had not run.
+    details.httpStatus = httpBadGateway;
+    details.retryAfter.reset();
+    return details;
 }
 
 } // namespace
@@ -53,9 +66,7 @@
         try {
             checkMaySend(context, request);
         } catch (const refused_error &error) {
-            refusal details = error.details();
-            details.run = run;
-            throw refused_error(details);
+            throw refused_error(afterAttempts(error.details(), run));
         }
         tried.push_back(response.from->address());
         const attempt_result result = attempt(context, request, response);
@@ -64,10 +75,20 @@
         if (result == attempt_result::may_have_run)
             run = execution_state::unknown;
         if (run == execution_state::unknown && request.atMostOnce)
-            refuse(502, "outcome_unknown", "the upstream may have run the request", run);
+            refuse(httpBadGateway, "outcome_unknown", "the upstream may have run the request", run);
     }
-    refuse(503, "no_upstream", "no upstream of " + request.version + " is available", run,
-           upstreamRetryAfter);
+    refusal details;
+    details.httpStatus = httpServiceUnavailable;
+    details.code = "no_upstream";
+    details.message = "no upstream of " + request.version + " is available";
+    details.retryAfter = upstreamRetryAfter;
+    throw refused_error(afterAttempts(details, run));
+}
+
+execution_state sender::runStateOf(const http_response &head)
+{
+    return head.header(runHeaderName) == toString(execution_state::no) ? execution_state::no
+                                                                       : execution_state::unknown;
 }
 
 std::shared_ptr<upstream> sender::choose(const send_request &request,
@@ -140,11 +161,10 @@
         response.from->recordFirstByte(time.now() - sentAt);
         if (isDrainingResponse(response.head))
             m_dependencies.host.markUpstreamDraining(response.from->address());
-        const bool failed = response.head.status >= minServerErrorStatus;
-        if (isRejected(response.head) || failed) {
+        if (isFailure(response.head)) {
             recordOutcome(response, false);
-            return isRejected(response.head) ? attempt_result::not_run
-                                             : attempt_result::may_have_run;
+            return runStateOf(response.head) == execution_state::no ? attempt_result::not_run
+                                                                    : attempt_result::may_have_run;
         }
         if (!hasMore && response.firstBytes.empty())
             response.stream.reset();
--- a/goldcrestdeck/sender.h
+++ b/goldcrestdeck/sender.h
@@ -14,6 +14,10 @@
 
 namespace goldcrestdeck {
 
+/// Header in which an upstream states, with the value "no", that it has not run the request and
+/// will not. Its status alone, such as 503 or 429, states nothing.
+constexpr const char *runHeaderName = "Goldcrest-Run";
+
 /// A response whose head and first bytes have been received.
 struct upstream_response {
     std::shared_ptr<upstream> from;
@@ -45,6 +49,9 @@
     /// Reads the response body to its end. \throws http_error if it is truncated.
     static std::string readAll(upstream_response &response);
 
+    /// Whether the request has run, as far as a response that is not a success tells.
+    static execution_state runStateOf(const http_response &head);
+
     /// Records with the upstream that its response has ended. \a success is false if the upstream
     /// failed or truncated the response.
     void recordOutcome(const upstream_response &response, bool success) const;
--- a/goldcrestdeck/testing/process_test.cc
+++ b/goldcrestdeck/testing/process_test.cc
@@ -363,6 +363,40 @@
     EXPECT_EQ(runCount("k"), 1U);
 }
 
+// An upstream that answers 503 or 429 after it has run the operation (review/7).
+TEST_F(process_fixture, operation_refused_after_it_has_run_is_not_sent_again)
+{
+    for (const std::string status : {"429", "500", "503"}) {
+        const std::string key = "k" + status;
+        cluster.injectFaults("service", "{\"fail\":true,\"fail_status\":" + status + "}");
+        const auto failure = cluster.service(0, "mill", "dispatch/go", key);
+        EXPECT_EQ(failure.status, 502) << status;
+        EXPECT_EQ(failure.run(), "unknown") << status;
+        cluster.injectFaults("service", "{}");
+        for (std::size_t host = 0; host < 3; ++host)
+            EXPECT_EQ(cluster.service(host, "mill", "dispatch/go", key).code(),
+                      "operation_may_have_run");
+        EXPECT_EQ(runCount(key), 1U) << status;
+    }
+}
+
+TEST_F(process_fixture, idempotent_request_refused_after_it_has_run_is_reported_as_maybe_run)
+{
+    for (const std::string status : {"400", "429", "500", "503"}) {
+        const std::string faults = "{\"fail\":true,\"fail_status\":" + status + "}";
+        for (const char *engine : {"engine-a", "engine-b"})
+            cluster.injectFaults(engine, faults);
+        const auto failure = cluster.chat(0, "mill", "draft");
+        EXPECT_EQ(failure.status, status == "400" ? 400 : 502) << status;
+        EXPECT_EQ(failure.run(), "unknown") << status;
+        EXPECT_EQ(failure.header("Retry-After"), "") << status;
+        // The breakers of both engines close again.
+        for (const char *engine : {"engine-a", "engine-b"})
+            cluster.injectFaults(engine, "{}");
+        EXPECT_TRUE(eventually([&] { return cluster.chat(0, "mill", "draft").status == 200; }));
+    }
+}
+
 TEST_F(process_fixture,
        operation_with_lost_store_replies_runs_at_most_once_and_is_reported_correctly)
 {
--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -113,11 +113,17 @@
     if (!injected.turnAway && !injected.leaving)
         return false;
     response.status = 503;
+    response.headers.push_back({"Goldcrest-Run", "no"});
     if (injected.leaving)
         response.headers.push_back({"X-Leaving", "1"});
     return true;
 }
 
+int statusAfterRun(const faults &injected)
+{
+    return injected.fail ? static_cast<int>(injected.failStatus) : 200;
+}
+
 class engine : public standin
 {
 public:
@@ -149,7 +155,7 @@
         sleepMs(injected.hangMs);
         if (injected.cutAfter > 0 || activeFaults().consumeLostResponse())
             return abortedResponse();
-        return completion(version, tokens, injected.fail ? 500 : 200);
+        return completion(version, tokens, statusAfterRun(injected));
     }
 
 private:
@@ -215,7 +221,7 @@
         document.set("path", request.path());
         document.set("key", key);
         document.set("result", "done");
-        return jsonResponse(injected.fail ? 500 : 200, document);
+        return jsonResponse(statusAfterRun(injected), document);
     }
 
 private:
