One constant for the field Goldcrest-Run

Hosts and upstreams state the execution state of a request in the same field; handover.cc and sender.h each had its name.

--- a/goldcrestdeck/errors.h
+++ b/goldcrestdeck/errors.h
@@ -42,6 +42,10 @@
 
 const char *toString(execution_state run);
 
+/// Header field in which a host tells another one, or an upstream tells goldcrestd, whether a
+/// request has been executed. Without it a status, such as 503 or 429, states nothing of the kind.
+constexpr const char *runField = "Goldcrest-Run";
+
 /// The final response to a rejected request.
 struct refusal {
     int httpStatus = 503;
--- a/goldcrestdeck/handover.cc
+++ b/goldcrestdeck/handover.cc
@@ -21,7 +21,6 @@
 constexpr const char *lastEventField = "Goldcrest-Last-Event";
 constexpr const char *configField = "Goldcrest-Config-Version";
 constexpr const char *attemptsField = "Goldcrest-Attempts";
-constexpr const char *runField = "Goldcrest-Run";
 constexpr const char *codeField = "Goldcrest-Code";
 
 constexpr std::uint64_t maxRemainingMs = 24ULL * 3600 * 1000;
--- a/goldcrestdeck/sender.cc
+++ b/goldcrestdeck/sender.cc
@@ -87,8 +87,8 @@
 
 execution_state sender::runStateOf(const http_response &head)
 {
-    return head.header(runHeaderName) == toString(execution_state::no) ? execution_state::no
-                                                                       : execution_state::unknown;
+    return head.header(runField) == toString(execution_state::no) ? execution_state::no
+                                                                  : execution_state::unknown;
 }
 
 std::shared_ptr<upstream> sender::choose(const send_request &request,
--- a/goldcrestdeck/sender.h
+++ b/goldcrestdeck/sender.h
@@ -14,10 +14,6 @@
 
 namespace goldcrestdeck {
 
-/// Header in which an upstream states, with the value "no", that it has not run the request and
-/// will not. Its status alone, such as 503 or 429, states nothing.
-constexpr const char *runHeaderName = "Goldcrest-Run";
-
 /// A response whose head and first bytes have been received.
 struct upstream_response {
     std::shared_ptr<upstream> from;
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -136,7 +136,7 @@
     next.cutAfter = document.integer("cut_after", 0);
     next.down = document.boolean("down", false);
     next.fail = document.boolean("fail", false);
-    next.failStatus = document.integer("fail_status", 500);
+    next.failStatus = document.integer("fail_status", next.failStatus);
     next.turnAway = document.boolean("turn_away", false);
     next.leaving = document.boolean("leaving", false);
     next.silentEnd = document.boolean("silent_end", false);
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -23,17 +23,17 @@
 
 /// Injected faults; none by default. Each field is a key of POST /fault, there in snake case.
 struct faults {
-    std::uint64_t slowMs = 0;      ///< Delay before the request is executed.
-    std::uint64_t hangMs = 0;      ///< Delay between executing and responding.
-    std::uint64_t loseReplies = 0; ///< Number of writes to execute without a response.
-    std::uint64_t cutAfter = 0;    ///< Tokens after which a stream is aborted; 0: never.
-    bool down = false;             ///< Aborts every connection without executing.
-    bool fail = false;             ///< Responds with failStatus after executing the request.
-    std::uint64_t failStatus = 500;
-    bool turnAway = false;  ///< Responds with 503 without executing, and states so.
-    bool leaving = false;   ///< Draining: like turnAway, and with X-Leaving.
-    bool silentEnd = false; ///< With cutAfter: the stream ends cleanly, but without [DONE].
-    double quality = -1;    ///< Of the responses; negative: as on the command line.
+    std::uint64_t slowMs = 0;       ///< Delay before the request is executed.
+    std::uint64_t hangMs = 0;       ///< Delay between executing and responding.
+    std::uint64_t loseReplies = 0;  ///< Number of writes to execute without a response.
+    std::uint64_t cutAfter = 0;     ///< Tokens after which a stream is aborted; 0: never.
+    bool down = false;              ///< Aborts every connection without executing.
+    bool fail = false;              ///< Responds with failStatus after executing the request.
+    std::uint64_t failStatus = 500; ///< With fail.
+    bool turnAway = false;          ///< Responds with 503 without executing, and states so.
+    bool leaving = false;           ///< Draining: like turnAway, and with X-Leaving.
+    bool silentEnd = false;         ///< With cutAfter: the stream ends cleanly, but without [DONE].
+    double quality = -1;            ///< Of the responses; negative: as on the command line.
 };
 
 /// The current faults of a stand-in; thread-safe.
--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <vector>
 
+#include "goldcrestdeck/errors.h"
 #include "standins/standin.h"
 
 namespace standins {
@@ -113,7 +114,8 @@
     if (!injected.turnAway && !injected.leaving)
         return false;
     response.status = 503;
-    response.headers.push_back({"Goldcrest-Run", "no"});
+    response.headers.push_back(
+        {goldcrestdeck::runField, toString(goldcrestdeck::execution_state::no)});
     if (injected.leaving)
         response.headers.push_back({"X-Leaving", "1"});
     return true;
