--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,7 @@
     echo "could not run: build deploy/system.toml and review/build-3.sh first"
     exit 2
 fi
-exec "$program" "$folder"
+"$program" "$folder"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/handed_over_stream.cpp
+++ b/review/handed_over_stream.cpp
@@ -267,7 +267,7 @@
     rig::machine second("front-oban-a-2", ports + 40, ports, 260);
     if (!first.awaitReady(15) || !second.awaitReady(15)) {
         record.summary("could not run: a machine is not ready");
-        return 2;
+        rig::leave(2, {&first, &second});
     }
     rig::pause(1.5);
     for (int i = 0; i < 6; ++i) // Ordinary requests, which add to the budget of repeats.
@@ -291,7 +291,7 @@
         second.start();
         if (!second.awaitReady(10)) {
             record.summary("could not run: machine 2 is not ready again");
-            return 2;
+            rig::leave(2, {&first, &second});
         }
         // A machine that could not be reached is not asked for 5 s.
         rig::pause(cutSeconds);
@@ -302,7 +302,7 @@
     raw_stream stream;
     if (!stream.begin(first.frontPort(), streamRequest("9c41d07be2a35f68", "e4402b7d"))) {
         record.summary("could not run: no channel");
-        return 2;
+        rig::leave(2, {&first, &second});
     }
     record.line("9c41d07be2a35f68 sent to machine 1");
     rig::pause(1.5);
@@ -318,7 +318,7 @@
         }
         if (crashesLeft > 0) {
             record.summary("could not run: the runners have not crashed");
-            return 2;
+            rig::leave(2, {&first, &second});
         }
         rig::pause(0.5);
         second.stop(SIGKILL);
@@ -338,7 +338,7 @@
     if (bytes.find("chunked") > bytes.find("\r\n\r\n")) {
         record.summary("could not run: no stream has begun: "
                        + bytes.substr(0, bytes.find("\r\n")));
-        return 2;
+        rig::leave(2, {&first, &second});
     }
     record.line("the requester has got " + std::to_string(bytes.size())
                 + " bytes: " + bytes.substr(0, bytes.find("\r\n")));
@@ -349,7 +349,5 @@
     record.summary(result == framing::malformed      ? "MIXED: broken, bytes that are no answer"
                        : result == framing::complete ? "MIXED: held, the stream is complete"
                                                      : "MIXED: held, the stream was broken off");
-    first.stop(SIGKILL);
-    second.stop(SIGKILL);
-    std::_Exit(result == framing::malformed ? 1 : 0);
+    rig::leave(result == framing::malformed ? 1 : 0, {&first, &second});
 }
--- a/review/rig3.hpp
+++ b/review/rig3.hpp
@@ -621,7 +621,10 @@
     }
     machine(const machine &) = delete;
     machine &operator=(const machine &) = delete;
-    ~machine()
+    ~machine() { remove(); }
+
+    /// Ends the process, and removes its files.
+    void remove()
     {
         stop(SIGKILL);
         unlink((m_folder + "/local.json").c_str());
@@ -721,6 +724,14 @@
     pid_t m_process = 0;
 };
 
+/// Ends the machines and this process; its threads use objects of main() until then.
+[[noreturn]] inline void leave(int code, const std::vector<machine *> &machines)
+{
+    for (machine *ended : machines)
+        ended->remove();
+    std::_Exit(code);
+}
+
 /// A manifest with one key, `key-1`, of the tenant `hule930`.
 inline std::string manifest(const std::string &routes, const std::string &services)
 {
--- a/review/sent_ahead_gone.cpp
+++ b/review/sent_ahead_gone.cpp
@@ -53,7 +53,7 @@
     rig::machine machine("front-oban-a-1", ports + 5, ports, 260);
     if (!machine.awaitReady(15)) {
         record.summary("could not run: the machine is not ready");
-        return 2;
+        rig::leave(2, {&machine});
     }
     rig::pause(4); // The machine is in touch: `contact-ms` is 3,000.
     std::vector<std::thread> requesters;
@@ -100,5 +100,5 @@
                        : late > fewRequests ? "GONE: broken"
                                             : "GONE: held");
     machine.stop(SIGTERM);
-    std::_Exit(!couldRun ? 2 : late > fewRequests ? 1 : 0);
+    rig::leave(!couldRun ? 2 : late > fewRequests ? 1 : 0, {&machine});
 }
--- a/review/sent_ahead_stop.cpp
+++ b/review/sent_ahead_stop.cpp
@@ -65,7 +65,7 @@
     rig::machine machine("front-oban-a-1", ports + 5, ports, 260);
     if (!machine.awaitReady(15)) {
         record.summary("could not run: the machine is not ready");
-        return 2;
+        rig::leave(2, {&machine});
     }
     rig::pause(1);
     std::atomic<int> lost{0};
@@ -117,5 +117,5 @@
     const bool couldRun = answered + refused + lost == channels && unread == 0;
     record.summary(!couldRun ? "could not run" : lost > 0 ? "LOST: broken" : "LOST: held");
     machine.stop(SIGTERM);
-    std::_Exit(!couldRun ? 2 : lost > 0 ? 1 : 0);
+    rig::leave(!couldRun ? 2 : lost > 0 ? 1 : 0, {&machine});
 }
