review: hosts stay at the store's old address when the settings name another (CONFIG)

reload() logs reloaded, but the client of the store keeps the address of the start. When the old address ends, the host serves its last configuration for good, with and without SIGHUP.

--- a/review/rig3.hpp
+++ b/review/rig3.hpp
@@ -585,24 +585,33 @@
 public:
     /// Uses ports from \a firstPort: front, ready, control and 16 internal ones.
     machine(const std::string &name, int firstPort, int storePort, int memoryMb)
-        : m_frontPort(firstPort)
+        : m_name(name)
+        , m_frontPort(firstPort)
         , m_readyPort(firstPort + 1)
+        , m_memoryMb(memoryMb)
     {
         char folder[] = "/tmp/review3-XXXXXX";
         if (mkdtemp(folder) == nullptr)
             throw std::runtime_error("no temporary folder");
         m_folder = folder;
+        writeSettings(storePort);
+        start();
+    }
+
+    /// Puts the settings with the store's address at their place.
+    void writeSettings(int storePort) const
+    {
         const auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
-        std::ofstream(m_folder + "/local.json")
-            << R"({"node-name":")" << name
+        std::ofstream(m_folder + "/next.json")
+            << R"({"node-name":")" << m_name
             << R"(","role":"router","machine-class":"front","serves":["front","control"],)"
             << R"("ip":"127.0.0.1","zone":"oban-a","region":"scot-west",)"
-            << R"("zones":{"oban-a":"scot-west"},"listen":{"front":)" << address(firstPort)
-            << R"(,"ready":)" << address(firstPort + 1) << R"(,"control":)"
-            << address(firstPort + 2) << R"(},"internal-ports":[)" << firstPort + 3 << ','
-            << firstPort + 18 << R"(],"seeds":[)" << address(firstPort + 2)
+            << R"("zones":{"oban-a":"scot-west"},"listen":{"front":)" << address(m_frontPort)
+            << R"(,"ready":)" << address(m_frontPort + 1) << R"(,"control":)"
+            << address(m_frontPort + 2) << R"(},"internal-ports":[)" << m_frontPort + 3 << ','
+            << m_frontPort + 18 << R"(],"seeds":[)" << address(m_frontPort + 2)
             << R"(],"first-start":true,"counts-as-loss":false,"limits":{"cpu-share":0.25,"cores":1,)"
-            << R"("memory-mb":)" << memoryMb
+            << R"("memory-mb":)" << m_memoryMb
             << R"(,"max-fds":4100,"link-mbps":1000.0,"disk-mb":0},"data-dir":null,)"
             << R"("discovery":"platform","entry":"vip","heartbeat-ms":1200,)"
             << R"("contracts":["base","drain","config","cost","retry","recover","engine","stream",)"
@@ -617,7 +626,8 @@
             << R"("session-s":5},"platform":{"address":)" << address(storePort)
             << R"(,"form":"kv","writes-per-s":400,"reads-per-s":2000,"history-s":20,)"
             << R"("value-bytes":1048576,"ttl-min-ms":1000}})";
-        start();
+        if (std::rename((m_folder + "/next.json").c_str(), (m_folder + "/local.json").c_str()) != 0)
+            throw std::runtime_error("no settings");
     }
     machine(const machine &) = delete;
     machine &operator=(const machine &) = delete;
@@ -718,8 +728,10 @@
         throw std::runtime_error("deploy/system.toml has no run command");
     }
 
+    std::string m_name;
     int m_frontPort;
     int m_readyPort;
+    int m_memoryMb;
     std::string m_folder;
     pid_t m_process = 0;
 };
