--- a/goldcrestdeck/active_request.cc
+++ b/goldcrestdeck/active_request.cc
@@ -405,6 +405,7 @@
               {"shared_segments", sharedSegmentIds()},
               {"first_byte_ms", m_responseBegun ? formatMilliseconds(m_firstByteLatency) : ""},
               {"framing", framing()},
+              {"stream_begun", m_streaming ? "yes" : "no"},
               {"last_event", m_lastEventId ? std::to_string(*m_lastEventId) : ""},
               {"unfinished_bytes", std::to_string(m_splitter.partial().size())},
               {"config", m_config ? std::to_string(m_config->version()) : ""},
