No complete response is written into a stream that has begun

Cause: the rule that a stream under way can only be continued or cut off was left to each caller of refuse() and deliver(). finishFailed(), onDeadline(), onEnd() and onHostEnd() looked at m_streaming, refuseQuarantined() did not. It was reached with a stream under way because m_answered, which spares later sends the question to the quarantine, is set for an instance's bytes and not for those of a host.

Change: refuse() and deliver() go through sendResponse(), the only place that hands a complete response to the writer. It cuts the stream off once its head has been sent. The checks in finishFailed() and onDeadline() are gone with it; a fallback response is released when a stream begins.

Tests: 46 orders of what follows a break, for streams of another host and of an instance, HTTP/1.1 and 1.0.

--- a/goldcrestdeck/active_request.cc
+++ b/goldcrestdeck/active_request.cc
@@ -253,9 +253,7 @@
 
 void forwarder::active_request::finishFailed(const std::string &code)
 {
-    if (m_streaming) {
-        abortStream(code);
-    } else if (m_fallbackResponse) {
+    if (m_fallbackResponse) {
         deliver(*m_fallbackResponse, "upstream_failure");
     } else if (m_mayHaveRun) {
         refuse(http::status::bad_gateway, code, std::nullopt);
@@ -296,9 +294,7 @@
         m_call.cancel();
         endSend(send_result::cancelled, "deadline");
     }
-    if (m_streaming)
-        abortStream("deadline");
-    else if (m_mayHaveRun)
+    if (m_mayHaveRun)
         refuse(http::status::gateway_timeout, "deadline", std::nullopt);
     else
         finishFailed("deadline");
@@ -355,26 +351,31 @@
     finish(0, code);
 }
 
-void forwarder::active_request::deliver(http1_response response, const char *outcome)
+void forwarder::active_request::sendResponse(http1_response response, const handover_result &result,
+                                             const std::string &outcome)
 {
-    const unsigned status = response.result_int();
-    const auto writer = m_writer;
+    if (m_streaming) {
+        // Its bytes would be read as part of the stream's body.
+        abortStream(outcome);
+        return;
+    }
     if (m_handover)
-        encodeHandoverResult({usedAttempts(), std::nullopt, ""}, response);
-    finish(status, outcome);
+        encodeHandoverResult(result, response);
+    const auto writer = m_writer;
+    finish(response.result_int(), outcome);
     writer->send(std::move(response));
 }
 
+void forwarder::active_request::deliver(http1_response response, const char *outcome)
+{
+    sendResponse(std::move(response), {usedAttempts(), std::nullopt, ""}, outcome);
+}
+
 void forwarder::active_request::refuse(http::status status, const std::string &code,
                                        std::optional<std::chrono::milliseconds> retryAfter)
 {
     const execution_state run = m_mayHaveRun ? execution_state::unknown : execution_state::no;
-    const auto writer = m_writer;
-    http1_response response = makeRefusal(status, code, run, retryAfter);
-    if (m_handover)
-        encodeHandoverResult({usedAttempts(), run, code}, response);
-    finish(static_cast<unsigned>(status), code);
-    writer->send(std::move(response));
+    sendResponse(makeRefusal(status, code, run, retryAfter), {usedAttempts(), run, code}, code);
 }
 
 void forwarder::active_request::finish(unsigned status, const std::string &outcome)
--- a/goldcrestdeck/active_request.h
+++ b/goldcrestdeck/active_request.h
@@ -302,6 +302,11 @@
 
     void abortStream(const std::string &code);
 
+    /// Sends a complete response and ends the request. All complete responses go through here: if
+    /// the client has the beginning of a stream, the stream is cut off instead.
+    void sendResponse(http1_response response, const handover_result &result,
+                      const std::string &outcome);
+
     void deliver(http1_response response, const char *outcome);
 
     void refuse(http::status status, const std::string &code,
--- a/goldcrestdeck/active_request_response.cc
+++ b/goldcrestdeck/active_request_response.cc
@@ -281,6 +281,8 @@
     if (m_streaming)
         return;
     m_streaming = true;
+    m_fallbackResponse.reset();
+    m_fallbackBytes.reset();
     http1_response_head head = m_head;
     removeHopByHopFields(head);
     if (m_handover)
--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -677,6 +677,83 @@
     EXPECT_EQ(events(1, 20), response.body());
 }
 
+/// What the instances do after the first one has broken off a stream.
+struct later_behavior {
+    const char *name;
+    void (*set)(instance_faults &);
+    bool mustContinue = false;
+    bool isKnown = true; ///< The host knows instances to go on with.
+};
+
+/// A client, of HTTP/1.1 or 1.0, of a stream that its instance breaks off.
+class broken_stream_fixture
+    : public forwarder_fixture,
+      public ::testing::WithParamInterface<std::tuple<later_behavior, const char *>>
+{
+protected:
+    static constexpr int sentEvents = 3; ///< Before the break.
+    static constexpr int eventCount = 5;
+
+    static std::string requestLines()
+    {
+        std::string request
+            = requestText("POST", "/stream/x", "r1", "X-Model: m\r\nConnection: close\r\n", "{}");
+        return request.replace(request.find("HTTP/1.1"), 8, std::get<1>(GetParam()));
+    }
+};
+
+// Guards against a complete response inside the body of a stream (review/12).
+TEST_P(broken_stream_fixture, stream_is_continued_or_visibly_cut)
+{
+    const later_behavior &later = std::get<0>(GetParam());
+    instance_faults faults;
+    faults.events = eventCount;
+    faults.eventInterval = milliseconds(40);
+    faults.resetAfterEvents = sentEvents;
+    setFaults(faults);
+    raw_http_client client(m_server->address());
+    client.send(requestLines());
+    ASSERT_TRUE(eventually(
+        [&] { return m_standins[2]->requests().size() + m_standins[3]->requests().size() == 1; }));
+    faults = instance_faults();
+    faults.events = eventCount;
+    later.set(faults);
+    setFaults(faults);
+    if (!later.isKnown) {
+        m_instances.clear();
+        publish();
+    }
+    const received_stream received = receiveStream(client);
+    EXPECT_EQ("", received.malformed);
+    EXPECT_EQ(0U, events(1, eventCount).rfind(received.body, 0)) << received.body;
+    EXPECT_EQ(0U, received.body.rfind(events(1, sentEvents), 0)) << received.body;
+    EXPECT_EQ(received.isComplete, received.body == events(1, eventCount)) << received.body;
+    EXPECT_TRUE(received.isComplete || !later.mustContinue);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    behaviors, broken_stream_fixture,
+    ::testing::Combine(
+        ::testing::Values(
+            later_behavior{"resumed", [](auto &) {}, true},
+            later_behavior{"no_instance", [](auto &) {}, false, false},
+            later_behavior{"rejection", [](auto &faults) { faults.rejectUnexecuted = true; }},
+            later_behavior{"failure", [](auto &faults) { faults.status = 500; }},
+            later_behavior{"unconfirmed_refusal", [](auto &faults) { faults.status = 503; }},
+            later_behavior{"no_stream", [](auto &faults) { faults.events = 0; }},
+            later_behavior{"no_seal", [](auto &faults) { faults.omitSeal = true; }},
+            later_behavior{"break_before_the_head",
+                           [](auto &faults) { faults.resetBeforeResponse = true; }},
+            later_behavior{"garbage", [](auto &faults) { faults.garbage = true; }},
+            later_behavior{"silence", [](auto &faults) { faults.silent = true; }},
+            later_behavior{"pause_before_the_last_event",
+                           [](auto &faults) { faults.stallAfterEvents = 4; }}),
+        ::testing::Values("HTTP/1.1", "HTTP/1.0")),
+    [](const auto &info) {
+        return std::get<0>(info.param).name
+            + std::string(std::get<1>(info.param) == std::string("HTTP/1.1") ? "" : "_http_1_0");
+    });
+
 TEST_F(crashing_segment_fixture, sound_requests_with_its_other_segments_are_served)
 {
     for (int i = 0; i < 8; ++i)
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -226,6 +226,18 @@
         return result;
     }
 
+    /// Puts the segment "topic" in quarantine at \a host, as if others had reported crashes. Call
+    /// on the event loop's thread.
+    void quarantine(int host)
+    {
+        crash_report report;
+        for (const char *name : {"1", "2", "3"})
+            report.suspects.push_back({name, name, {"topic"}, {}});
+        segment_quarantine &target = m_hosts[host]->state().quarantine();
+        target.merge(report, report_origin::otherHost, m_clock.now());
+        EXPECT_TRUE(target.find({"topic"}, "", m_clock.now()));
+    }
+
     static std::string fullStream()
     {
         std::string text;
@@ -517,9 +529,7 @@
                     boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
                     [this](const http1_request &request,
                            const std::shared_ptr<standins::raw_connection> &connection) {
-                        ++m_received[std::string(request["X-Request-Id"])];
-                        connection->write(m_response);
-                        connection->close();
+                        respond(request, connection);
                     },
                     [this](const http1_request_head &request,
                            const std::shared_ptr<standins::raw_connection> &connection) {
@@ -556,6 +566,19 @@
         });
     }
 
+    /// Called on the event loop's thread.
+    void respond(const http1_request &request,
+                 const std::shared_ptr<standins::raw_connection> &connection)
+    {
+        const bool isFirst = ++m_received[std::string(request["X-Request-Id"])] == 1;
+        if (isFirst && m_onFirstResponse)
+            m_onFirstResponse();
+        if (!isFirst && m_isSilentLater)
+            return;
+        connection->write(isFirst && !m_firstResponse.empty() ? m_firstResponse : m_response);
+        connection->close();
+    }
+
     /// Lets the other hosts respond with \a status, \a lines and \a body, as if they had served
     /// the request.
     void respondWith(const std::string &status, const std::string &lines, const std::string &body,
@@ -603,7 +626,10 @@
 
     std::vector<std::unique_ptr<standins::raw_server>> m_others;
     std::string m_response;
-    bool m_endsEarly = false; ///< The response ends before the request has been read.
+    std::string m_firstResponse; ///< To the first send of a request, if not empty.
+    std::function<void()> m_onFirstResponse;
+    bool m_isSilentLater = false; ///< Only the first send of a request gets a response.
+    bool m_endsEarly = false;     ///< The response ends before the request has been read.
     std::string m_requestBody = "{}";
     std::map<std::string, int> m_received; ///< Requests, by id.
 };
@@ -679,5 +705,191 @@
     expectNotDelivered("long");
 }
 
+/// Streams of which another host sends the beginning before it breaks off. The response to the next
+/// send is the test's.
+class interrupted_stream_fixture : public broken_host_fixture
+{
+public:
+    static constexpr int sentEvents = 3; ///< Before the other host breaks off.
+    static constexpr int eventCount = 5;
+
+    interrupted_stream_fixture()
+    {
+        respondWithEvents(sentEvents + 1);
+        onLoop([&] { m_firstResponse = streamHead() + chunksOf(1, sentEvents); });
+    }
+
+    /// Lets the other hosts respond with the events from \a first to the last one.
+    void respondWithEvents(int first)
+    {
+        onLoop([&] { m_response = streamHead() + chunksOf(first, eventCount) + lastChunk; });
+    }
+
+    static std::string streamHead()
+    {
+        http1_response_head head;
+        head.set("X-Response-Seal", "s");
+        head.set("Content-Type", "text/event-stream");
+        head.set("Transfer-Encoding", "chunked");
+        encodeHandoverResult({1, std::nullopt, ""}, head);
+        return serializeHead(head);
+    }
+
+    static std::string chunksOf(int first, int last)
+    {
+        std::string text;
+        for (int i = first; i <= last; ++i)
+            text += encodeChunk(platform_instance::eventText(i));
+        return text;
+    }
+
+    /// Puts the segment "topic" in quarantine at host 0 once the first event is on its way.
+    void quarantineMeanwhile()
+    {
+        m_onFirstResponse = [this] { quarantine(0); };
+    }
+
+    /// Lets host 0 know no other host once the first event is on its way.
+    void loseHostsMeanwhile()
+    {
+        m_onFirstResponse = [this] {
+            auto view = *m_hosts[0]->state().view();
+            view.hostAddresses = std::make_shared<const std::vector<registered_host>>();
+            m_hosts[0]->setView(view, m_clock.now());
+        };
+    }
+
+    received_stream receive(const std::string &version)
+    {
+        raw_http_client client(onLoop([&] { return m_hosts[0]->clientAddress(); }));
+        std::string request = requestText("POST", "/stream/x", "r1",
+                                          "X-Model: m\r\nConnection: close\r\n"
+                                          "X-Prompt-Prefix: topic:40,own:10\r\n",
+                                          "{}");
+        request.replace(request.find("HTTP/1.1"), 8, version);
+        client.send(request);
+        return receiveStream(client);
+    }
+
+    using broken_host_fixture::m_isSilentLater;
+    using broken_host_fixture::refuseWith;
+    using broken_host_fixture::respondWith;
+};
+
+struct interruption {
+    const char *name;
+    void (*prepare)(interrupted_stream_fixture &); ///< Called before the request is sent.
+    bool mustContinue = false;
+};
+
+/// With a client of HTTP/1.1 or 1.0.
+class interruption_fixture
+    : public interrupted_stream_fixture,
+      public ::testing::WithParamInterface<std::tuple<interruption, const char *>>
+{ };
+
+// Guards against a refusal that is written where the next chunk of a stream should begin
+// (review/12).
+TEST_P(interruption_fixture, stream_is_continued_or_visibly_cut)
+{
+    std::get<0>(GetParam()).prepare(*this);
+    const received_stream received = receive(std::get<1>(GetParam()));
+    EXPECT_EQ("", received.malformed);
+    EXPECT_EQ(0U, fullStream().rfind(received.body, 0)) << received.body;
+    std::string beginning;
+    for (int i = 1; i <= sentEvents; ++i)
+        beginning += platform_instance::eventText(i);
+    EXPECT_EQ(0U, received.body.rfind(beginning, 0)) << received.body;
+    EXPECT_EQ(received.isComplete, received.body == fullStream()) << received.body;
+    EXPECT_TRUE(received.isComplete || !std::get<0>(GetParam()).mustContinue);
+}
+
+INSTANTIATE_TEST_SUITE_P(interruptions, interruption_fixture,
+                         ::testing::Combine(::testing::Values(interruption{"resumed", [](auto &) {},
+                                                                           true},
+                                                              interruption{
+                                                                  "quarantined_here",
+                                                                  [](auto &fixture) {
+                                                                      fixture.quarantineMeanwhile();
+                                                                  }},
+                                                              interruption{
+                                                                  "quarantined_there",
+                                                                  [](auto &fixture) {
+                                                                      fixture.refuseWith(
+                                                                          "502 Status",
+                                                                          {0,
+                                                                           execution_state::unknown,
+                                                                           "segment_quarantined"});
+                                                                  }},
+                                                              interruption{
+                                                                  "not_run_there",
+                                                                  [](auto &fixture) {
+                                                                      fixture.refuseWith(
+                                                                          "503 Status",
+                                                                          {0, execution_state::no,
+                                                                           "all_busy"});
+                                                                  }},
+                                                              interruption{
+                                                                  "path_lost_there",
+                                                                  [](auto &fixture) {
+                                                                      fixture.refuseWith(
+                                                                          "503 Status",
+                                                                          {0, execution_state::no,
+                                                                           pathLostCode});
+                                                                  }},
+                                                              interruption{
+                                                                  "stopping_there",
+                                                                  [](auto &fixture) {
+                                                                      fixture.refuseWith(
+                                                                          "503 Status",
+                                                                          {0, execution_state::no,
+                                                                           stoppingCode});
+                                                                  }},
+                                                              interruption{
+                                                                  "status_of_an_older_build",
+                                                                  [](auto &fixture) {
+                                                                      fixture.respondWith(
+                                                                          "503 Status",
+                                                                          "Retry-After: 1\r\n",
+                                                                          "body");
+                                                                  }},
+                                                              interruption{"no_stream",
+                                                                           [](auto &fixture) {
+                                                                               fixture.respondWith(
+                                                                                   "200 OK",
+                                                                                   "Content-Type: "
+                                                                                   "text/plain\r\n",
+                                                                                   "body");
+                                                                           }},
+                                                              interruption{"failure",
+                                                                           [](auto &fixture) {
+                                                                               fixture.respondWith(
+                                                                                   "500 Status", "",
+                                                                                   "body");
+                                                                           }},
+                                                              interruption{
+                                                                  "events_again",
+                                                                  [](auto &fixture) {
+                                                                      fixture.respondWithEvents(1);
+                                                                  }},
+                                                              interruption{"silence",
+                                                                           [](auto &fixture) {
+                                                                               fixture
+                                                                                   .m_isSilentLater
+                                                                                   = true;
+                                                                           }},
+                                                              interruption{"no_host",
+                                                                           [](auto &fixture) {
+                                                                               fixture
+                                                                                   .loseHostsMeanwhile();
+                                                                           }}),
+                                            ::testing::Values("HTTP/1.1", "HTTP/1.0")),
+                         [](const auto &info) {
+                             return std::get<0>(info.param).name
+                                 + std::string(std::get<1>(info.param) == std::string("HTTP/1.1")
+                                                   ? ""
+                                                   : "_http_1_0");
+                         });
+
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -115,6 +115,7 @@
         const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
         received.append(buffer.data(), count);
     }
+    m_wasReset = error == asio::error::connection_reset;
     return received;
 }
 
@@ -124,6 +125,42 @@
     m_socket.close(ignored);
 }
 
+received_stream receiveStream(raw_http_client &client)
+{
+    const std::string bytes = client.readAll();
+    received_stream result;
+    const std::size_t headEnd = bytes.find("\r\n\r\n");
+    if (headEnd == std::string::npos)
+        return result;
+    std::size_t at = headEnd + 4;
+    if (bytes.find("chunked") > headEnd) {
+        result.body = bytes.substr(at);
+        result.isComplete = !client.wasReset();
+        return result;
+    }
+    while (true) {
+        const std::size_t lineEnd = bytes.find("\r\n", at);
+        if (lineEnd == std::string::npos)
+            return result;
+        const std::string line = bytes.substr(at, lineEnd - at);
+        if (line.empty() || line.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
+            result.malformed = bytes.substr(at);
+            return result;
+        }
+        const std::size_t size = std::stoul(line, nullptr, 16);
+        const std::size_t dataEnd = lineEnd + 2 + size;
+        if (bytes.size() < dataEnd + 2)
+            return result;
+        result.body += bytes.substr(lineEnd + 2, size);
+        at = dataEnd + 2;
+        if (size == 0) {
+            result.isComplete = at == bytes.size();
+            result.malformed = bytes.substr(at);
+            return result;
+        }
+    }
+}
+
 std::string requestText(const std::string &method, const std::string &path, const std::string &id,
                         const std::string &fields, const std::string &body)
 {
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -33,14 +33,27 @@
     bool isClosedByServer();
     /// \returns all bytes until the connection ends, in order or with a reset.
     std::string readAll();
+    /// Whether the connection has ended with a reset.
+    bool wasReset() const { return m_wasReset; }
     void close();
 
 private:
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_buffer;
+    bool m_wasReset = false;
 };
 
+/// What a client has received of a streamed response by the end of its connection.
+struct received_stream {
+    std::string body;
+    bool isComplete = false; ///< The framing says that nothing is missing.
+    std::string malformed;   ///< What stands where a chunk should begin.
+};
+
+/// Reads until the connection ends; the request must ask for that with Connection: close.
+received_stream receiveStream(raw_http_client &client);
+
 /// An HTTP/1.1 request as a client of the platform sends it. \a fields holds further header lines,
 /// each with its CRLF.
 std::string requestText(const std::string &method, const std::string &path, const std::string &id,
