Reads of raw_http_client time out as its header says

SO_RCVTIMEO has no effect: on EAGAIN a blocking read of Asio polls without a limit. A test whose server neither responds nor closes hung instead of failing.

--- a/goldcrestdeck/testing/router_harness.cc
+++ b/goldcrestdeck/testing/router_harness.cc
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <array>
 
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr int receiveTimeoutSeconds = 10;
+constexpr int receiveTimeoutMs = 10'000;
 constexpr int eventuallyMaxPolls = 500;
 constexpr std::chrono::milliseconds eventuallyPollInterval{10};
 
@@ -62,9 +62,18 @@
     : m_socket(m_io)
 {
     m_socket.connect(server);
-    timeval receiveTimeout{receiveTimeoutSeconds, 0};
-    setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout,
-               sizeof receiveTimeout);
+}
+
+std::size_t raw_http_client::readSome(const asio::mutable_buffer &buffer,
+                                      boost::system::error_code &error)
+{
+    // A blocking read of Asio ignores SO_RCVTIMEO.
+    pollfd readable{m_socket.native_handle(), POLLIN, 0};
+    if (poll(&readable, 1, receiveTimeoutMs) == 0) {
+        error = asio::error::timed_out;
+        return 0;
+    }
+    return m_socket.read_some(buffer, error);
 }
 
 void raw_http_client::send(const std::string &bytes)
@@ -86,7 +95,7 @@
         if (error && error != http::error::need_more)
             throw boost::system::system_error(error);
         char chunk[4096];
-        const std::size_t count = m_socket.read_some(asio::buffer(chunk), error);
+        const std::size_t count = readSome(asio::buffer(chunk), error);
         if (error == asio::error::eof && parser.is_header_done()) {
             parser.put_eof(error);
             if (!error && parser.is_done())
@@ -102,7 +111,7 @@
 {
     char byte = 0;
     boost::system::error_code error;
-    const std::size_t count = m_socket.read_some(asio::buffer(&byte, 1), error);
+    const std::size_t count = readSome(asio::buffer(&byte, 1), error);
     return count == 0 && (error == asio::error::eof || error == asio::error::connection_reset);
 }
 
@@ -112,7 +121,7 @@
     std::array<char, 4096> buffer{};
     boost::system::error_code error;
     while (!error) {
-        const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
+        const std::size_t count = readSome(asio::buffer(buffer), error);
         received.append(buffer.data(), count);
     }
     m_wasReset = error == asio::error::connection_reset;
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -38,6 +38,10 @@
     void close();
 
 private:
+    /// Reads once, for a limited time.
+    std::size_t readSome(const boost::asio::mutable_buffer &buffer,
+                         boost::system::error_code &error);
+
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_buffer;
