A response writer refuses calls that are out of order

Change: each request has a writer of its own with three states (none, begun, ended). A call out of order is logged (response_call_out_of_order) and writes nothing; a response in progress is cut off so that it does not look complete, and the disconnect is reported to the request. It holds for all listeners: clients, handed-over requests, readiness, metrics. The rule itself stays in active_request::sendResponse(); this is the check.

--- a/goldcrestdeck/async_server.cc
+++ b/goldcrestdeck/async_server.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "goldcrestdeck/log.h"
 #include "goldcrestdeck/one_shot_timer.h"
 
 namespace goldcrestdeck {
@@ -99,8 +100,7 @@
     std::set<std::shared_ptr<connection>> connections;
 };
 
-class async_server::connection : public response_writer,
-                                 public std::enable_shared_from_this<async_server::connection>
+class async_server::connection : public std::enable_shared_from_this<async_server::connection>
 {
 public:
     connection(tcp::socket socket, std::shared_ptr<shared_state> state)
@@ -148,9 +148,9 @@
         setTimer(lingerTimeout);
     }
 
-    bool isBodyUnread() const override { return m_bodyUnread; }
+    bool isBodyUnread() const { return m_bodyUnread; }
 
-    void readBody() override
+    void readBody()
     {
         if (m_phase != phase::processing)
             return; // Closed in the meantime.
@@ -186,7 +186,7 @@
             onDisconnect();
     }
 
-    void send(http1_response response) override
+    void send(http1_response response)
     {
         const bool isLast = isLastResponse();
         response.version(11);
@@ -198,7 +198,7 @@
         finish(std::move(bytes), isLast);
     }
 
-    void begin(http1_response_head head) override
+    void begin(http1_response_head head)
     {
         head.version(11);
         m_chunked = m_requestVersion >= 11;
@@ -212,20 +212,23 @@
         queue(serializeHead(head));
     }
 
-    void write(const std::string &piece) override
+    void write(const std::string &piece)
     {
         if (!piece.empty() && !m_isHeadRequest)
             queue(m_chunked ? encodeChunk(piece) : piece);
     }
 
-    void end() override
+    void end() { finish(m_chunked && !m_isHeadRequest ? lastChunk : "", m_isLastResponse); }
+
+    void abort()
     {
-        finish(m_chunked && !m_isHeadRequest ? lastChunk : "", m_isLastResponse);
+        m_onDisconnect = nullptr;
+        cutOff();
     }
 
-    void abort() override
+    /// Closes the connection so that a response in progress does not look complete.
+    void cutOff()
     {
-        m_onDisconnect = nullptr;
         if (m_endsWithConnection) {
             // An orderly close would mark the end of the body.
             error_code ignored;
@@ -234,12 +237,9 @@
         close();
     }
 
-    std::size_t unsentBytes() const override
-    {
-        return m_bytesInWrite.size() + m_pendingBytes.size();
-    }
+    std::size_t unsentBytes() const { return m_bytesInWrite.size() + m_pendingBytes.size(); }
 
-    void setCallbacks(std::function<void()> onDisconnect, std::function<void()> onWritable) override
+    void setCallbacks(std::function<void()> onDisconnect, std::function<void()> onWritable)
     {
         m_onDisconnect = std::move(onDisconnect);
         m_onWritable = std::move(onWritable);
@@ -549,18 +549,7 @@
         handle(http1_request(m_parser->get().base()));
     }
 
-    void handle(http1_request request)
-    {
-        m_timer.cancel();
-        m_requestVersion = request.version();
-        m_isHeadRequest = request.method() == http::verb::head;
-        m_onDisconnect = nullptr;
-        m_onWritable = nullptr;
-        m_chunked = false;
-        m_endsWithConnection = false;
-        m_isLastResponse = false;
-        m_state->handle(std::move(request), shared_from_this());
-    }
+    void handle(http1_request request);
 
     void rejectParseError(const error_code &error)
     {
@@ -706,6 +695,122 @@
     std::function<void()> m_onWritable;
 };
 
+/// The writer of one response. A connection has one for each request, so that a writer which is
+/// used after its response cannot reach the response to the next request.
+class async_server::writer : public response_writer
+{
+public:
+    explicit writer(std::shared_ptr<connection> connection)
+        : m_connection(std::move(connection))
+    { }
+
+    void send(http1_response response) override
+    {
+        if (advance("send", progress::none, progress::ended))
+            m_connection->send(std::move(response));
+    }
+
+    void begin(http1_response_head head) override
+    {
+        if (advance("begin", progress::none, progress::begun))
+            m_connection->begin(std::move(head));
+    }
+
+    void write(const std::string &piece) override
+    {
+        if (advance("write", progress::begun, progress::begun))
+            m_connection->write(piece);
+    }
+
+    void end() override
+    {
+        if (advance("end", progress::begun, progress::ended))
+            m_connection->end();
+    }
+
+    void abort() override
+    {
+        if (m_progress == progress::ended) {
+            reportMisuse("abort");
+            return;
+        }
+        m_progress = progress::ended;
+        m_connection->abort();
+    }
+
+    std::size_t unsentBytes() const override { return m_connection->unsentBytes(); }
+
+    void setCallbacks(std::function<void()> onDisconnect, std::function<void()> onWritable) override
+    {
+        if (m_progress != progress::ended)
+            m_connection->setCallbacks(std::move(onDisconnect), std::move(onWritable));
+    }
+
+    bool isBodyUnread() const override
+    {
+        return m_progress == progress::none && m_connection->isBodyUnread();
+    }
+
+    void readBody() override
+    {
+        if (advance("readBody", progress::none, progress::ended))
+            m_connection->readBody();
+    }
+
+private:
+    enum class progress { none, begun, ended };
+
+    static const char *toString(progress value)
+    {
+        switch (value) {
+        case progress::none:
+            return "none";
+        case progress::begun:
+            return "begun";
+        case progress::ended:
+            break;
+        }
+        return "ended";
+    }
+
+    /// Moves on from \a from to \a to. \returns false if that is out of order, so that \a call must
+    /// have no effect.
+    bool advance(const char *call, progress from, progress to)
+    {
+        if (m_progress != from) {
+            reportMisuse(call);
+            return false;
+        }
+        m_progress = to;
+        return true;
+    }
+
+    void reportMisuse(const char *call)
+    {
+        logEvent(log_level::error, "response_call_out_of_order",
+                 {{"call", call}, {"progress", toString(m_progress)}});
+        // After the end, the connection may serve another request.
+        if (std::exchange(m_progress, progress::ended) != progress::ended)
+            m_connection->cutOff();
+    }
+
+    std::shared_ptr<connection> m_connection;
+    progress m_progress = progress::none;
+};
+
+void async_server::connection::handle(http1_request request)
+{
+    m_timer.cancel();
+    m_requestVersion = request.version();
+    m_isHeadRequest = request.method() == http::verb::head;
+    m_onDisconnect = nullptr;
+    m_onWritable = nullptr;
+    m_chunked = false;
+    m_endsWithConnection = false;
+    m_isLastResponse = false;
+    m_state->handle(std::move(request), std::make_shared<writer>(shared_from_this()));
+}
+
 async_server::async_server(asio::io_context &io, const tcp::endpoint &address,
                            request_limits limits, handler handle,
                            std::shared_ptr<client_memory> memory, head_check checkHead)
--- a/goldcrestdeck/async_server.h
+++ b/goldcrestdeck/async_server.h
@@ -35,8 +35,13 @@
 
 namespace goldcrestdeck {
 
-/// Sends the response to one request. No function may be called after send(), end() or abort(), or
+/// Sends the response to one request: either send(), or begin(), any number of write() and end();
+/// abort() is allowed before the end. No function may be called after send(), end() or abort(), or
 /// after the disconnect of the client has been reported.
+///
+/// A call out of this order is an error of the caller. It is logged and writes nothing; a response
+/// in progress is cut off, and its disconnect reported. So no writer can write into the body of a
+/// response that has begun, or into the response to a later request on the connection.
 class response_writer
 {
 public:
@@ -111,6 +116,7 @@
 
 private:
     class connection;
+    class writer;
     struct shared_state;
 
     void accept();
--- a/goldcrestdeck/testing/http_engine_test.cc
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -1,4 +1,5 @@
 #include "goldcrestdeck/async_client.h"
+#include "goldcrestdeck/log.h"
 #include "goldcrestdeck/testing/router_harness.h"
 
 namespace goldcrestdeck {
@@ -192,6 +193,189 @@
     EXPECT_TRUE(client.isClosedByServer());
 }
 
+/// Calls of a response_writer of which the last one is out of order.
+struct misordered_calls {
+    const char *name;
+    std::function<void(response_writer &)> call;
+    bool isComplete; ///< The response has ended before.
+    std::string body;
+};
+
+http1_response textResponse(const std::string &text)
+{
+    http1_response response(boost::beast::http::status::ok, 11);
+    response.body() = text;
+    return response;
+}
+
+/// A server whose handler makes these calls, for a client of HTTP/1.1 or 1.0.
+class misordered_calls_fixture
+    : public ::testing::TestWithParam<std::tuple<misordered_calls, const char *>>
+{
+protected:
+    misordered_calls_fixture()
+        : m_server(m_io, {boost::asio::ip::make_address("127.0.0.1"), 0}, request_limits(),
+                   [this](const http1_request &, const std::shared_ptr<response_writer> &writer) {
+                       writer->setCallbacks([this] { ++m_disconnects; }, nullptr);
+                       std::get<0>(GetParam()).call(*writer);
+                   })
+    {
+        initLog("test", log_level::error);
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~misordered_calls_fixture() override
+    {
+        boost::asio::post(m_io, [this] { m_server.stop(); });
+        m_thread.join();
+    }
+
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 500 && !condition(); ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return condition();
+    }
+
+    static std::string requestLines()
+    {
+        return std::string("GET /x ") + std::get<1>(GetParam())
+            + "\r\nHost: a\r\nConnection: close\r\n\r\n";
+    }
+
+    boost::asio::io_context m_io{1};
+    std::atomic<int> m_disconnects{0};
+    async_server m_server;
+    std::thread m_thread;
+};
+
+TEST_P(misordered_calls_fixture, client_gets_one_response_that_looks_complete_only_if_it_is)
+{
+    const misordered_calls &calls = std::get<0>(GetParam());
+    raw_http_client client(m_server.address());
+    client.send(requestLines());
+    if (calls.isComplete) {
+        EXPECT_EQ(calls.body, client.read().body());
+        EXPECT_TRUE(client.isClosedByServer());
+        EXPECT_EQ(0, m_disconnects);
+        return;
+    }
+    const std::string bytes = client.readAll();
+    EXPECT_EQ(bytes.find("HTTP/1.1"), bytes.rfind("HTTP/1.1")) << bytes;
+    EXPECT_EQ(std::string::npos, bytes.find(std::string("\r\n") + lastChunk)) << bytes;
+    // The end of the connection is the end of a body without chunks.
+    EXPECT_TRUE(client.wasReset() || bytes.empty() || bytes.find("chunked") != std::string::npos);
+    EXPECT_TRUE(eventually([&] { return m_disconnects == 1; }));
+}
+
+const auto beginAndWrite = [](response_writer &writer) {
+    writer.begin(http1_response_head());
+    writer.write("part");
+};
+
+INSTANTIATE_TEST_SUITE_P(
+    calls, misordered_calls_fixture,
+    ::testing::Combine(::testing::Values(misordered_calls{"response_in_a_stream",
+                                                          [](auto &writer) {
+                                                              beginAndWrite(writer);
+                                                              writer.send(textResponse("second"));
+                                                          },
+                                                          false, ""},
+                                         misordered_calls{"stream_in_a_stream",
+                                                          [](auto &writer) {
+                                                              beginAndWrite(writer);
+                                                              beginAndWrite(writer);
+                                                              writer.end();
+                                                          },
+                                                          false, ""},
+                                         misordered_calls{
+                                             "body_without_a_head",
+                                             [](auto &writer) { writer.write("part"); }, false, ""},
+                                         misordered_calls{"end_without_a_head",
+                                                          [](auto &writer) { writer.end(); }, false,
+                                                          ""},
+                                         misordered_calls{"response_after_a_response",
+                                                          [](auto &writer) {
+                                                              writer.send(textResponse("first"));
+                                                              writer.send(textResponse("second"));
+                                                          },
+                                                          true, "first"},
+                                         misordered_calls{"stream_after_a_response",
+                                                          [](auto &writer) {
+                                                              writer.send(textResponse("first"));
+                                                              beginAndWrite(writer);
+                                                          },
+                                                          true, "first"},
+                                         misordered_calls{"response_after_a_stream",
+                                                          [](auto &writer) {
+                                                              beginAndWrite(writer);
+                                                              writer.end();
+                                                              writer.send(textResponse("second"));
+                                                          },
+                                                          true, "part"},
+                                         misordered_calls{"more_of_a_stream_that_has_ended",
+                                                          [](auto &writer) {
+                                                              beginAndWrite(writer);
+                                                              writer.end();
+                                                              writer.write("more");
+                                                              writer.end();
+                                                              writer.abort();
+                                                          },
+                                                          true, "part"}),
+                       ::testing::Values("HTTP/1.1", "HTTP/1.0")),
+    [](const auto &info) {
+        return std::get<0>(info.param).name
+            + std::string(std::get<1>(info.param) == std::string("HTTP/1.1") ? "" : "_http_1_0");
+    });
+
+/// A server whose handler keeps the writers and responds to nothing.
+class kept_writer_fixture : public ::testing::Test
+{
+protected:
+    kept_writer_fixture()
+        : m_server(m_io, {boost::asio::ip::make_address("127.0.0.1"), 0}, request_limits(),
+                   [this](const http1_request &, std::shared_ptr<response_writer> writer) {
+                       m_writers.push_back(std::move(writer));
+                   })
+    {
+        initLog("test", log_level::error);
+    }
+    ~kept_writer_fixture() override
+    {
+        m_server.stop();
+        m_writers.clear();
+        m_io.poll();
+    }
+
+    /// Sends a request and runs the server until it has arrived.
+    void request(raw_http_client &client)
+    {
+        client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        const std::size_t before = m_writers.size();
+        while (m_writers.size() == before)
+            m_io.run_one();
+    }
+
+    boost::asio::io_context m_io{1};
+    std::vector<std::shared_ptr<response_writer>> m_writers;
+    async_server m_server;
+};
+
+TEST_F(kept_writer_fixture, writer_of_an_earlier_request_does_not_respond_to_a_later_one)
+{
+    raw_http_client client(m_server.address());
+    request(client);
+    m_writers[0]->send(textResponse("first"));
+    m_io.poll();
+    EXPECT_EQ("first", client.read().body());
+    request(client);
+    m_writers[0]->send(textResponse("stale"));
+    m_writers[0]->begin(http1_response_head());
+    m_writers[0]->abort();
+    m_writers[1]->send(textResponse("second"));
+    m_io.poll();
+    EXPECT_EQ("second", client.read().body());
+}
+
 /// A server sends a head and then a body of ten bytes, one byte each m_interval.
 class call_progress_fixture : public ::testing::Test
 {
