A stream that another host has begun goes on in spite of a quarantine

A stream that an instance of this host has begun goes on in that case.

Cause: what spares a request the question to the quarantine is that an instance has begun to answer it: it has survived the request. onBody() recorded that (m_answered) for bytes of an instance only. The same bytes passed on by another host are the same evidence.

Change: m_answered is also set by the body of a response that another host passes on, unless that host states that it has refused. Its answers are recorded in the quarantine by the host that had them, as before. quarantine_not_applied in the log says when a request goes on for this reason.

Containment: requests that no instance has answered are refused as before, also after a refusal by the other host (request_refused_by_the_other_host_...).

--- a/goldcrestdeck/active_request.h
+++ b/goldcrestdeck/active_request.h
@@ -162,6 +162,13 @@
     /// The head of a response from the host that serves the request.
     void onHostHead();
 
+    /// Whether the response of the current send is an instance's that another host passes on, not
+    /// that host's own.
+    bool isPassedOnByHost() const
+    {
+        return m_toHost && m_handoverResult && !m_handoverResult->refusedRun;
+    }
+
     /// The end of a response from the host that serves the request, other than of a stream.
     void onHostEnd();
 
@@ -363,8 +370,10 @@
     bool m_sending = false;
     bool m_responseBegun = false;
     mutable std::string m_requestDigest; ///< See requestDigest(); empty until it is asked for.
-    bool m_bodyBegun = false;       ///< A byte of the current send's response body has arrived.
-    bool m_answered = false;        ///< A byte of some response body has arrived.
+    bool m_bodyBegun = false; ///< A byte of the current send's response body has arrived.
+    /// An instance has begun the body of a response to this request, sent to this host or to
+    /// another one. It has survived the request, so a later quarantine does not apply to it.
+    bool m_answered = false;
     bool m_slow = false;            ///< The candidate responds much more slowly than the baseline.
     bool m_outcomeReported = false; ///< Of the current send, before its end.
     std::size_t m_eventsInSend = 0;
--- a/goldcrestdeck/active_request_response.cc
+++ b/goldcrestdeck/active_request_response.cc
@@ -196,6 +196,8 @@
         m_bodyBegun = true;
         if (!m_toHost)
             recordAnswer();
+        else if (isPassedOnByHost())
+            m_answered = true;
     }
     if (m_mode != response_mode::eventStream) {
         m_body += piece;
--- a/goldcrestdeck/active_request_send.cc
+++ b/goldcrestdeck/active_request_send.cc
@@ -119,11 +119,13 @@
 {
     const time_point time = now();
     m_owner.logColdChanges();
-    if (!m_answered) {
-        if (const auto segment = m_state.quarantine().find(sharedSegments(), ownSegment(), time)) {
+    if (const auto segment = m_state.quarantine().find(sharedSegments(), ownSegment(), time)) {
+        if (!m_answered) {
             refuseQuarantined(*segment);
             return;
         }
+        logEvent(log_level::info, "quarantine_not_applied",
+                 {{"request", m_request.id}, {"segment", segment->segment}});
     }
     if (mayHandOver()) {
         const auto allowed = m_state.hostsForBody(placementRequest());
--- a/standins/platform_instance.cc
+++ b/standins/platform_instance.cc
@@ -191,8 +191,11 @@
             m_server.crash();
             return;
         }
-        const std::string last(request["Last-Event-Id"]);
-        streamFrom(connection, faults, std::atoi(last.c_str()) + 1);
+        const int last = std::atoi(std::string(request["Last-Event-Id"]).c_str());
+        instance_faults ofRun = faults;
+        if (faults.crashAfterEvents >= 0)
+            ofRun.crashAfterEvents += last;
+        streamFrom(connection, ofRun, last + 1);
         return;
     }
     if (faults.omitContentLength) {
@@ -277,6 +280,11 @@
         connection->runAfter(std::chrono::milliseconds(20), [connection] { connection->reset(); });
         return;
     }
+    if (faults.crashAfterEvents >= 0 && number > faults.crashAfterEvents) {
+        m_hasCrashed = true;
+        m_server.crash();
+        return;
+    }
     if (faults.stallAfterEvents >= 0 && number > faults.stallAfterEvents)
         return;
     const bool isCut = faults.earlyResponse && faults.omitContentLength;
