A host continues another one's stream in spite of its own quarantine

Change: a request that is handed over with a last event counts as answered.

Tests: handover_fixture.handed_over_stream_goes_on_though_* fails before; that a request without a last event is refused there, without an instance and as not run, passes before and after.

--- a/goldcrestdeck/active_request_handover.cc
+++ b/goldcrestdeck/active_request_handover.cc
@@ -39,6 +39,7 @@
     m_deliveries = handover.deliveries;
     m_isCounted = handover.isCounted;
     m_lastEventId = handover.lastEventId;
+    m_answered = handover.lastEventId.has_value(); // The client has events of an instance.
     if (!m_route->models.empty())
         m_modelIndex = std::min(handover.modelIndex, m_route->models.size() - 1);
     return true;
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -551,6 +551,54 @@
     }
 }
 
+/// A request as another host hands it over. Its prompt shares the segment "topic" with others.
+std::string handedOverStream(const std::optional<std::uint64_t> &lastEventId)
+{
+    http1_request request(boost::beast::http::verb::post, "/stream/x", 11);
+    handover_request handover;
+    handover.remainingTime = seconds(2);
+    handover.maxAttempts = 2;
+    handover.deliveries = lastEventId ? 1 : 0;
+    handover.lastEventId = lastEventId;
+    handover.service = "engine";
+    encodeHandover(handover, request);
+    request.set("Host", "a.example");
+    request.set("X-Request-Id", "r1");
+    request.set("X-Credential", "key-1");
+    request.set("X-Model", "m");
+    request.set("X-Prompt-Prefix", "topic:40,own:10");
+    request.body() = "{}";
+    request.content_length(2);
+    return serializeRequest(request);
+}
+
+// Guards against a stream that is cut because the host asked to continue it has its segment in
+// quarantine, although an instance has answered it (review/12).
+TEST_F(handover_fixture, handed_over_stream_goes_on_though_its_segment_is_quarantined)
+{
+    onLoop([&] { quarantine(1); });
+    raw_http_client client(onLoop([&] { return m_hosts[1]->handoverAddress(); }));
+    client.send(handedOverStream(2));
+    const http1_response response = client.read();
+    EXPECT_EQ(200U, response.result_int());
+    std::string rest;
+    for (int i = 3; i <= 5; ++i)
+        rest += platform_instance::eventText(i);
+    EXPECT_EQ(rest, response.body());
+}
+
+TEST_F(handover_fixture, handed_over_request_that_no_instance_has_answered_is_refused_in_quarantine)
+{
+    onLoop([&] { quarantine(1); });
+    raw_http_client client(onLoop([&] { return m_hosts[1]->handoverAddress(); }));
+    client.send(handedOverStream(std::nullopt));
+    const http1_response response = client.read();
+    EXPECT_EQ(503U, response.result_int());
+    EXPECT_EQ("no", response["Goldcrest-Run"]);
+    EXPECT_EQ("segment_quarantined", response["Goldcrest-Code"]);
+    EXPECT_EQ(0, executionsOf("r1"));
+}
+
 TEST_F(handover_fixture, host_with_an_older_configuration_does_not_serve_for_another)
 {
     http1_request request(boost::beast::http::verb::get, "/safe/x", 11);
