--- a/standins/platform_instance.h
+++ b/standins/platform_instance.h
@@ -28,7 +28,7 @@
     int resetAfterEvents = -1;     ///< Resets in the middle of the event after this one.
     int endInsideEventAfter = -1;  ///< Ends the response, as its framing prescribes, in the middle
                                    ///< of the event after this one.
-    int crashAfterEvents = -1;     ///< Crashes after it has sent so many events of a request.
+    int crashAfterEvents = -1;     ///< Crashes after so many events of its part of a stream.
     int stallAfterEvents = -1;     ///< Stops sending after this event; stays connected.
     std::chrono::milliseconds eventInterval{1}; ///< Between events.
     std::chrono::milliseconds delay{0};         ///< Before the response.
