Tests: tables of cases instead of nested macro arguments

Only the layout of the cases of interruption_fixture, broken_stream_fixture and misordered_calls_fixture, and one function for their names.

--- a/goldcrestdeck/testing/forwarder_test.cc
+++ b/goldcrestdeck/testing/forwarder_test.cc
@@ -731,28 +731,24 @@
     EXPECT_TRUE(received.isComplete || !later.mustContinue);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    behaviors, broken_stream_fixture,
-    ::testing::Combine(
-        ::testing::Values(
-            later_behavior{"resumed", [](auto &) {}, true},
-            later_behavior{"no_instance", [](auto &) {}, false, false},
-            later_behavior{"rejection", [](auto &faults) { faults.rejectUnexecuted = true; }},
-            later_behavior{"failure", [](auto &faults) { faults.status = 500; }},
-            later_behavior{"unconfirmed_refusal", [](auto &faults) { faults.status = 503; }},
-            later_behavior{"no_stream", [](auto &faults) { faults.events = 0; }},
-            later_behavior{"no_seal", [](auto &faults) { faults.omitSeal = true; }},
-            later_behavior{"break_before_the_head",
-                           [](auto &faults) { faults.resetBeforeResponse = true; }},
-            later_behavior{"garbage", [](auto &faults) { faults.garbage = true; }},
-            later_behavior{"silence", [](auto &faults) { faults.silent = true; }},
-            later_behavior{"pause_before_the_last_event",
-                           [](auto &faults) { faults.stallAfterEvents = 4; }}),
-        ::testing::Values("HTTP/1.1", "HTTP/1.0")),
-    [](const auto &info) {
-        return std::get<0>(info.param).name
-            + std::string(std::get<1>(info.param) == std::string("HTTP/1.1") ? "" : "_http_1_0");
-    });
+const later_behavior laterBehaviors[] = {
+    {"resumed", [](auto &) {}, true},
+    {"no_instance", [](auto &) {}, false, false},
+    {"rejection", [](auto &faults) { faults.rejectUnexecuted = true; }},
+    {"failure", [](auto &faults) { faults.status = 500; }},
+    {"unconfirmed_refusal", [](auto &faults) { faults.status = 503; }},
+    {"no_stream", [](auto &faults) { faults.events = 0; }},
+    {"no_seal", [](auto &faults) { faults.omitSeal = true; }},
+    {"break_before_the_head", [](auto &faults) { faults.resetBeforeResponse = true; }},
+    {"garbage", [](auto &faults) { faults.garbage = true; }},
+    {"silence", [](auto &faults) { faults.silent = true; }},
+    {"pause_before_the_last_event", [](auto &faults) { faults.stallAfterEvents = 4; }},
+};
+
+INSTANTIATE_TEST_SUITE_P(behaviors, broken_stream_fixture,
+                         ::testing::Combine(::testing::ValuesIn(laterBehaviors),
+                                            ::testing::Values("HTTP/1.1", "HTTP/1.0")),
+                         nameWithVersion<later_behavior>);
 
 TEST_F(crashing_segment_fixture, sound_requests_with_its_other_segments_are_served)
 {
--- a/goldcrestdeck/testing/handover_test.cc
+++ b/goldcrestdeck/testing/handover_test.cc
@@ -999,93 +999,39 @@
     EXPECT_TRUE(received.isComplete || !std::get<0>(GetParam()).mustContinue);
 }
 
+const interruption allInterruptions[] = {
+    {"resumed", [](auto &) {}, true},
+    {"quarantined_here", [](auto &fixture) { fixture.quarantineMeanwhile(); }, true},
+    {"quarantined_there",
+     [](auto &fixture) {
+         fixture.refuseWith("502 Status", {0, execution_state::unknown, "segment_quarantined"});
+     }},
+    {"not_run_there",
+     [](auto &fixture) {
+         fixture.refuseWith("503 Status", {0, execution_state::no, "all_busy"});
+     }},
+    {"path_lost_there",
+     [](auto &fixture) {
+         fixture.refuseWith("503 Status", {0, execution_state::no, pathLostCode});
+     }},
+    {"stopping_there",
+     [](auto &fixture) {
+         fixture.refuseWith("503 Status", {0, execution_state::no, stoppingCode});
+     }},
+    {"status_of_an_older_build",
+     [](auto &fixture) { fixture.respondWith("503 Status", "Retry-After: 1\r\n", "body"); }},
+    {"no_stream",
+     [](auto &fixture) { fixture.respondWith("200 OK", "Content-Type: text/plain\r\n", "body"); }},
+    {"failure", [](auto &fixture) { fixture.respondWith("500 Status", "", "body"); }},
+    {"events_again", [](auto &fixture) { fixture.respondWithEvents(1); }},
+    {"silence", [](auto &fixture) { fixture.m_isSilentLater = true; }},
+    {"no_host", [](auto &fixture) { fixture.loseHostsMeanwhile(); }},
+};
+
 INSTANTIATE_TEST_SUITE_P(interruptions, interruption_fixture,
-                         ::testing::Combine(::testing::Values(interruption{"resumed", [](auto &) {},
-                                                                           true},
-                                                              interruption{
-                                                                  "quarantined_here",
-                                                                  [](auto &fixture) {
-                                                                      fixture.quarantineMeanwhile();
-                                                                  },
-                                                                  true},
-                                                              interruption{
-                                                                  "quarantined_there",
-                                                                  [](auto &fixture) {
-                                                                      fixture.refuseWith(
-                                                                          "502 Status",
-                                                                          {0,
-                                                                           execution_state::unknown,
-                                                                           "segment_quarantined"});
-                                                                  }},
-                                                              interruption{
-                                                                  "not_run_there",
-                                                                  [](auto &fixture) {
-                                                                      fixture.refuseWith(
-                                                                          "503 Status",
-                                                                          {0, execution_state::no,
-                                                                           "all_busy"});
-                                                                  }},
-                                                              interruption{
-                                                                  "path_lost_there",
-                                                                  [](auto &fixture) {
-                                                                      fixture.refuseWith(
-                                                                          "503 Status",
-                                                                          {0, execution_state::no,
-                                                                           pathLostCode});
-                                                                  }},
-                                                              interruption{
-                                                                  "stopping_there",
-                                                                  [](auto &fixture) {
-                                                                      fixture.refuseWith(
-                                                                          "503 Status",
-                                                                          {0, execution_state::no,
-                                                                           stoppingCode});
-                                                                  }},
-                                                              interruption{
-                                                                  "status_of_an_older_build",
-                                                                  [](auto &fixture) {
-                                                                      fixture.respondWith(
-                                                                          "503 Status",
-                                                                          "Retry-After: 1\r\n",
-                                                                          "body");
-                                                                  }},
-                                                              interruption{"no_stream",
-                                                                           [](auto &fixture) {
-                                                                               fixture.respondWith(
-                                                                                   "200 OK",
-                                                                                   "Content-Type: "
-                                                                                   "text/plain\r\n",
-                                                                                   "body");
-                                                                           }},
-                                                              interruption{"failure",
-                                                                           [](auto &fixture) {
-                                                                               fixture.respondWith(
-                                                                                   "500 Status", "",
-                                                                                   "body");
-                                                                           }},
-                                                              interruption{
-                                                                  "events_again",
-                                                                  [](auto &fixture) {
-                                                                      fixture.respondWithEvents(1);
-                                                                  }},
-                                                              interruption{"silence",
-                                                                           [](auto &fixture) {
-                                                                               fixture
-                                                                                   .m_isSilentLater
-                                                                                   = true;
-                                                                           }},
-                                                              interruption{"no_host",
-                                                                           [](auto &fixture) {
-                                                                               fixture
-                                                                                   .loseHostsMeanwhile();
-                                                                           }}),
+                         ::testing::Combine(::testing::ValuesIn(allInterruptions),
                                             ::testing::Values("HTTP/1.1", "HTTP/1.0")),
-                         [](const auto &info) {
-                             return std::get<0>(info.param).name
-                                 + std::string(std::get<1>(info.param) == std::string("HTTP/1.1")
-                                                   ? ""
-                                                   : "_http_1_0");
-                         });
+                         nameWithVersion<interruption>);
 
 } // namespace
 } // namespace goldcrestdeck
--- a/goldcrestdeck/testing/http_engine_test.cc
+++ b/goldcrestdeck/testing/http_engine_test.cc
@@ -196,7 +196,7 @@
 /// Calls of a response_writer of which the last one is out of order.
 struct misordered_calls {
     const char *name;
-    std::function<void(response_writer &)> call;
+    void (*call)(response_writer &);
     bool isComplete; ///< The response has ended before.
     std::string body;
 };
@@ -267,65 +267,62 @@
     EXPECT_TRUE(eventually([&] { return m_disconnects == 1; }));
 }
 
-const auto beginAndWrite = [](response_writer &writer) {
+void beginAndWrite(response_writer &writer)
+{
     writer.begin(http1_response_head());
     writer.write("part");
+}
+
+const misordered_calls misorderedCalls[] = {
+    {"response_in_a_stream",
+     [](auto &writer) {
+         beginAndWrite(writer);
+         writer.send(textResponse("second"));
+     },
+     false, ""},
+    {"stream_in_a_stream",
+     [](auto &writer) {
+         beginAndWrite(writer);
+         beginAndWrite(writer);
+         writer.end();
+     },
+     false, ""},
+    {"body_without_a_head", [](auto &writer) { writer.write("part"); }, false, ""},
+    {"end_without_a_head", [](auto &writer) { writer.end(); }, false, ""},
+    {"response_after_a_response",
+     [](auto &writer) {
+         writer.send(textResponse("first"));
+         writer.send(textResponse("second"));
+     },
+     true, "first"},
+    {"stream_after_a_response",
+     [](auto &writer) {
+         writer.send(textResponse("first"));
+         beginAndWrite(writer);
+     },
+     true, "first"},
+    {"response_after_a_stream",
+     [](auto &writer) {
+         beginAndWrite(writer);
+         writer.end();
+         writer.send(textResponse("second"));
+     },
+     true, "part"},
+    {"more_of_a_stream_that_has_ended",
+     [](auto &writer) {
+         beginAndWrite(writer);
+         writer.end();
+         writer.write("more");
+         writer.end();
+         writer.abort();
+     },
+     true, "part"},
 };
 
-INSTANTIATE_TEST_SUITE_P(
-    calls, misordered_calls_fixture,
-    ::testing::Combine(::testing::Values(misordered_calls{"response_in_a_stream",
-                                                          [](auto &writer) {
-                                                              beginAndWrite(writer);
-                                                              writer.send(textResponse("second"));
-                                                          },
-                                                          false, ""},
-                                         misordered_calls{"stream_in_a_stream",
-                                                          [](auto &writer) {
-                                                              beginAndWrite(writer);
-                                                              beginAndWrite(writer);
-                                                              writer.end();
-                                                          },
-                                                          false, ""},
-                                         misordered_calls{
-                                             "body_without_a_head",
-                                             [](auto &writer) { writer.write("part"); }, false, ""},
-                                         misordered_calls{"end_without_a_head",
-                                                          [](auto &writer) { writer.end(); }, false,
-                                                          ""},
-                                         misordered_calls{"response_after_a_response",
-                                                          [](auto &writer) {
-                                                              writer.send(textResponse("first"));
-                                                              writer.send(textResponse("second"));
-                                                          },
-                                                          true, "first"},
-                                         misordered_calls{"stream_after_a_response",
-                                                          [](auto &writer) {
-                                                              writer.send(textResponse("first"));
-                                                              beginAndWrite(writer);
-                                                          },
-                                                          true, "first"},
-                                         misordered_calls{"response_after_a_stream",
-                                                          [](auto &writer) {
-                                                              beginAndWrite(writer);
-                                                              writer.end();
-                                                              writer.send(textResponse("second"));
-                                                          },
-                                                          true, "part"},
-                                         misordered_calls{"more_of_a_stream_that_has_ended",
-                                                          [](auto &writer) {
-                                                              beginAndWrite(writer);
-                                                              writer.end();
-                                                              writer.write("more");
-                                                              writer.end();
-                                                              writer.abort();
-                                                          },
-                                                          true, "part"}),
-                       ::testing::Values("HTTP/1.1", "HTTP/1.0")),
-    [](const auto &info) {
-        return std::get<0>(info.param).name
-            + std::string(std::get<1>(info.param) == std::string("HTTP/1.1") ? "" : "_http_1_0");
-    });
+INSTANTIATE_TEST_SUITE_P(calls, misordered_calls_fixture,
+                         ::testing::Combine(::testing::ValuesIn(misorderedCalls),
+                                            ::testing::Values("HTTP/1.1", "HTTP/1.0")),
+                         nameWithVersion<misordered_calls>);
 
 /// A server whose handler keeps the writers and responds to nothing.
 class kept_writer_fixture : public ::testing::Test
--- a/goldcrestdeck/testing/router_harness.h
+++ b/goldcrestdeck/testing/router_harness.h
@@ -58,6 +58,14 @@
 /// Reads until the connection ends; the request must ask for that with Connection: close.
 received_stream receiveStream(raw_http_client &client);
 
+/// The name of a test whose parameter is a case with a name, and the HTTP version of its client.
+template<typename Case>
+std::string nameWithVersion(const ::testing::TestParamInfo<std::tuple<Case, const char *>> &info)
+{
+    const bool isOld = std::get<1>(info.param) == std::string("HTTP/1.0");
+    return std::get<0>(info.param).name + std::string(isOld ? "_http_1_0" : "");
+}
+
 /// An HTTP/1.1 request as a client of the platform sends it. \a fields holds further header lines,
 /// each with its CRLF.
 std::string requestText(const std::string &method, const std::string &path, const std::string &id,
